--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,754 @@
+// Package balance decides which node every part of every search goes to, and
+// how every search ends.
+//
+// A caller makes one Broker with New and gives it a Host (host.go), which is all
+// that the broker can do to the world. It calls Begin with the time; then Take for
+// a search, Part on the handle for each of its parts, and Reply, Gone, Probed, List
+// and Unlisted as things happen; then Close, where sends are decided so that parts
+// for one node can share a call. The bookkeeping is in state.go.
+//
+// The mechanism is greedy coded reads (docs/design.md): all parts of the oldest
+// waiting search go first, under a cap on parts in flight; the n-th reply answers,
+// and the rest is cancelled.
+package balance
+
+import (
+	"errors"
+	"math"
+	"slices"
+)
+
+const (
+	overdue   = 0.3  // share of the latency target after which a node's silence sends a part elsewhere
+	better    = 0.5  // a part is resent where the other holder lags by less than this share of its wait
+	memory    = 1.0  // seconds in which what a node's lateness counts for halves
+	ease      = 0.75 // share of the safe work that a cold node is given, for what one broker cannot see
+	margin    = 0.3  // failure share beyond the fleet's median that makes a node sick
+	judging   = 0.25 // seconds between judgements of the nodes
+	fading    = 0.91 // what a node's record keeps from one judgement to the next: halves in 2 s
+	loud      = 3.0  // weight of a failure that speaks of the whole node, not of one part
+	firstRest = 0.5  // seconds before a sick node is asked again; doubles with each try
+	lastRest  = 4.0  // up to this
+	short     = 5e-5 // what sums of weights may fall short of by rounding
+	own       = 0.2  // further sub-requests per search and part taken, where no budget is stated
+	ownOver   = 10.0 // over so many seconds
+	lateLot   = 0.25 // share of late or refused parts that lowers the cap
+	capCut    = 0.9  // by this factor
+	capRest   = 0.25 // at most once in so many seconds
+	capGain   = 0.5  // and what each part in time adds again
+	shedFrom  = 0.6  // expected share of the target used at which average searches begin to be shed
+	shedFull  = 1.2  // and at which all are
+	shedTilt  = 0.25 // how far the start moves for each e-fold of value
+	unseen    = 0.08 // share of the target that a part's work is taken for until it is known
+	learnUp   = 0.01 // the work of a part follows a low quantile of reply times, clear of waiting
+	learnDown = 0.09 // by moving up and down at these rates
+)
+
+// kind is what decisions need of one query type.
+type kind struct {
+	aim, window, value, late float64
+	need, least, partial     float64
+	fetch                    int
+	effect                   Effect
+	work                     float64 // of a part, as learned
+	seen                     bool
+}
+
+// Broker decides for one instance. It is not safe for concurrent use.
+type Broker struct {
+	host  Host
+	now   float64
+	turn  int
+	rand  chance
+	kinds []kind
+	nodes []node
+
+	head, tail        *Search
+	free              []*Search
+	places, live      int
+	calls, freeCalls  []int
+	holders           [][]int // by shard, in the fixed order of offsets
+	members           [][]int // by cell
+	spread            int     // the longest of holders
+	reach, perCall    int
+	tries             int
+	cancels, probes   bool
+	advice            float64
+	cold, coldFrom    float64
+	fall, fallBy      float64
+	bear              float64 // this broker's work answered by a warm node over one fall window
+	taken, further    tally
+	owed              int // sub-requests cancelled to be resent
+	extra, share      float64
+	over              float64
+	byWork            bool
+	quotas, tokens    []float64 // by dealer: this broker's part of the share a second; what is left of it
+	tokensAt          []float64
+	beyond            float64
+	worth             float64 // running mean of value for work
+	flying            int     // sub-requests out that are not overdue
+	cap, most, least  float64
+	lateness          float64 // running share of parts that came back late or were turned away
+	cutAt             float64
+	guard, period     float64
+	sweepAt, judgeAt  float64
+	wakeAt            float64
+	asked, watching   bool
+	watchAt, watchGap float64
+	scratch           []float64
+	seen              []int
+	stamp             int
+}
+
+// New makes a broker from what its deployment states.
+func New(h Host, t Terms) (*Broker, error) {
+	switch {
+	case len(t.Types) == 0:
+		return nil, errors.New("no query types")
+	case t.Cells < 1 || t.Shards < 1 || t.Reach < 1 || t.Reach > t.Cells:
+		return nil, errors.New("cells, reach and shards do not make a layout")
+	case t.Brokers < 1 || t.Tries < 1 || t.MaxOpen < 1:
+		return nil, errors.New("brokers, tries and searches held must be at least 1")
+	case t.Cold > 0 && (t.ColdFrom <= 0 || t.ColdFrom > 1 || t.Fall <= 0 || t.FallMultiple <= 0):
+		return nil, errors.New("the figures for cold nodes do not fit together")
+	}
+	b := &Broker{host: h, reach: t.Reach, perCall: max(t.PerCall, 1), tries: t.Tries, cancels: t.MayCancel,
+		probes: t.MayProbe, advice: t.Advice, cold: t.Cold, coldFrom: t.ColdFrom, fall: t.Fall,
+		fallBy: t.FallMultiple * ease, extra: t.Extra, share: t.ExtraShare, over: t.Over, byWork: t.ByWork,
+		beyond: t.OverShare, most: float64(t.MaxOpen), cap: float64(t.MaxOpen), asked: t.Asked,
+		holders: make([][]int, t.Shards), members: make([][]int, t.Cells), cutAt: math.Inf(-1)}
+	if t.Over <= 0 {
+		b.extra, b.share, b.over = 10, own, ownOver
+	}
+	b.period = 4 * t.Tick
+	b.guard = b.period + 3*t.Tick
+	b.rand.seed(t.Seed)
+	for _, k := range t.Types {
+		if k.Target <= 0 || k.Timeout <= 0 || k.Need <= 0 || k.Need > 1 || k.Least > k.Need {
+			return nil, errors.New("a query type's target, timeout or shares make no sense")
+		}
+		b.kinds = append(b.kinds, kind{aim: k.Target, window: k.Window, value: k.Value, late: k.LateValue,
+			need: k.Need, least: k.Least, partial: k.Partial, fetch: k.Fetch, effect: k.Effect,
+			work: unseen * k.Target})
+	}
+	for _, s := range t.Quotas {
+		b.quotas = append(b.quotas, s/float64(t.Brokers))
+		b.tokens = append(b.tokens, 2*s/float64(t.Brokers))
+		b.tokensAt = append(b.tokensAt, 0)
+	}
+	return b, nil
+}
+
+// Begin opens a turn.
+func (b *Broker) Begin(now float64) { b.now = now; b.turn++ }
+
+// Take takes a search; dealer below 0 is none, hint 0 is none.
+func (b *Broker) Take(kind, dealer int, left, hint float64) *Search {
+	q, k := b.take(), &b.kinds[kind]
+	q.kind, q.born, q.hint = kind, b.now, hint
+	q.aim = b.now + min(k.aim, left)
+	q.cutoff = b.now + left - b.guard
+	q.value = k.value
+	if dealer >= 0 && dealer < len(b.quotas) {
+		quota := b.quotas[dealer]
+		left := min(b.tokens[dealer]+quota*(b.now-b.tokensAt[dealer]), 2*quota)
+		if left < 1 {
+			q.value *= b.beyond
+		} else {
+			left--
+		}
+		b.tokens[dealer], b.tokensAt[dealer] = left, b.now
+	}
+	b.taken.add(b.now, 1)
+	return q
+}
+
+// Part adds a part to a search and gives its index, or -1 if the search has ended.
+func (q *Search) Part(shard int, weight, hint float64) int {
+	q.b.taken.add(q.b.now, 1)
+	if q.ended || shard < 0 || shard >= len(q.b.holders) {
+		return -1
+	}
+	p := q.grow()
+	p.shard, p.weight, p.work = shard, weight, hint
+	if hint <= 0 {
+		p.work = q.b.kinds[q.kind].work
+	}
+	q.waiting++
+	return p.at
+}
+
+// Gone says that the client has left.
+func (q *Search) Gone() {
+	if !q.ended {
+		q.finish()
+	}
+}
+
+// Reply says how a part's newest sub-request ended, after how long.
+func (q *Search) Reply(i int, how Outcome, took float64) {
+	b, p := q.b, q.parts[i]
+	if p.state != out {
+		return
+	}
+	n, k := b.land(p), &b.kinds[q.kind]
+	if p.dropped {
+		b.owed--
+		p.dropped = false
+	}
+	p.state = unsent
+	switch how {
+	case OK:
+		p.state = landed
+		b.heard(n, p, k, took)
+	case Full, Moot, Unreached:
+		if how == Unreached {
+			b.blame(n, loud, true)
+		}
+	case Errored:
+		b.blame(n, 1, false)
+	case Dropped:
+		b.blame(n, loud, true)
+	case TimedOut:
+		b.silent(n, p)
+	}
+	if how != OK && how != Full && how != Moot && how != Unreached && p.mayRun < 0 {
+		p.mayRun = p.sent
+	}
+	if how == Full || how == OK || how == TimedOut {
+		b.press(how == Full || took > better*k.aim)
+	}
+	switch {
+	case q.ended:
+		b.reuse(q)
+		return
+	case p.at < q.first:
+		p.state = spent
+		return
+	case p.state == landed:
+		q.got += p.weight
+	case !b.again(p):
+		p.state = spent
+		q.lost += p.weight
+	default:
+		q.waiting++
+	}
+	q.settle()
+}
+
+// again: may a part that came back without an answer be sent once more, now or later?
+func (b *Broker) again(p *part) bool {
+	k := &b.kinds[p.q.kind]
+	switch {
+	case p.tries >= b.tries:
+		return false
+	case p.mayRun < 0 || k.effect == Idempotent:
+		return true
+	}
+	return k.effect == Tokened && b.now < p.mayRun+k.window
+}
+
+// settle answers a search that has what it needs and ends one that cannot get it.
+func (q *Search) settle() {
+	need := 1.0
+	if !q.fetched {
+		need = q.b.kinds[q.kind].need
+	}
+	if q.got >= need-short && len(q.parts) > q.first {
+		q.answer(true)
+	} else if 1-q.lost < need-short {
+		q.quit()
+	}
+}
+
+func (q *Search) answer(whole bool) {
+	b, k := q.b, &q.b.kinds[q.kind]
+	if q.fetched || k.fetch == 0 {
+		b.host.Answer(q, whole && (q.whole || !q.fetched))
+		q.finish()
+		return
+	}
+	b.host.Answer(q, whole)
+	q.recall()
+	q.fetched, q.whole, q.first, q.got, q.lost, q.waiting = true, whole, len(q.parts), 0, 0, 0
+}
+
+// recall stops what is still out for the current step; its parts are no more needed.
+func (q *Search) recall() {
+	for _, p := range q.parts[q.first:] {
+		if p.state == out && q.b.cancels && !p.dropped {
+			q.b.host.Cancel(q, p.at, p.tries-1)
+			q.b.nodes[p.node].delist(p)
+		}
+	}
+}
+
+func (q *Search) finish() {
+	q.recall()
+	q.ended = true
+	q.b.leave(q)
+}
+
+// quit ends a search that is given up on, at once: from the parts that are in where
+// the query type allows that, else by the answer that promises no more than is true.
+func (q *Search) quit() {
+	b, k := q.b, &q.b.kinds[q.kind]
+	if q.got > 0 && q.got >= k.least-short && k.least < k.need-short && (q.fetched || k.fetch == 0) {
+		q.answer(false)
+		return
+	}
+	harmless := true
+	if k.effect == NonIdempotent {
+		for _, p := range q.parts {
+			harmless = harmless && p.mayRun < 0 && p.state != out && p.state != landed
+		}
+	}
+	if harmless {
+		b.host.Shed(q, b.advice*(0.5+0.5*b.rand.next()))
+	} else {
+		b.host.Error(q)
+	}
+	q.finish()
+}
+
+// Close ends a turn: it sends what the mechanism allows, oldest search first.
+func (b *Broker) Close() {
+	if b.asked && !b.watching && b.now >= b.watchAt {
+		b.watching = true
+		b.host.Watch()
+	}
+	if b.now >= b.judgeAt {
+		b.judge()
+	}
+	if b.now >= b.sweepAt {
+		b.sweep()
+	}
+	for q := b.head; q != nil; {
+		next := q.next
+		if q.waiting > 0 && !b.send(q) {
+			break
+		}
+		q = next
+	}
+	if b.wakeAt <= b.now {
+		b.wakeAt = b.now + judging
+		if b.live > 0 {
+			b.wakeAt = b.now + b.period
+		}
+		b.host.Wake(b.wakeAt)
+	}
+}
+
+// send sends the parts of a search; it tells whether there is room for the next one's.
+func (b *Broker) send(q *Search) bool {
+	k := &b.kinds[q.kind]
+	if q.cutoff <= b.now {
+		q.quit()
+		return true
+	}
+	if float64(b.flying) >= b.cap {
+		return false
+	}
+	if !q.begun {
+		q.begun = true
+		b.align(q)
+		if b.unlucky(q, k) {
+			q.quit()
+			return true
+		}
+	}
+	for _, p := range q.parts[q.first:] {
+		if p.state != unsent {
+			continue
+		}
+		if float64(b.flying) >= b.cap {
+			return false
+		}
+		if p.tries > 0 && (!b.again(p) || !b.spare()) {
+			continue
+		}
+		at := b.pick(q, p)
+		if at < 0 {
+			continue
+		}
+		if p.tries > 0 {
+			b.further.add(b.now, 1)
+		}
+		wait := 0.0
+		if !b.cancels && k.effect != NonIdempotent {
+			wait = better * k.aim
+		}
+		b.nodes[at].sent.add(b.now, k.work)
+		b.launch(p, at)
+		b.host.Send(q, p.at, at, wait)
+	}
+	return true
+}
+
+// spare: does the budget of further sub-requests hold one more? What was cancelled
+// to be resent has its place already.
+func (b *Broker) spare() bool {
+	taken := b.taken.since(b.now - b.over + b.period)
+	return b.further.since(b.now-b.over-b.period)+float64(b.owed)+1 <= b.extra+b.share*taken
+}
+
+// align gives a search the replica offset whose nodes hold fewest calls of this
+// broker; among equals, that which crosses zones least, else any, so that brokers do not herd.
+func (b *Broker) align(q *Search) {
+	best, from := math.Inf(1), int(b.rand.next()*float64(b.spread))
+	pick := 0
+	for j := range b.spread {
+		q.offset = (from + j) % b.spread
+		b.stamp++
+		cost := 0.0
+		for _, p := range q.parts[q.first:] {
+			at := b.pick(q, p)
+			if at < 0 || b.seen[at] == b.stamp {
+				continue
+			}
+			b.seen[at] = b.stamp
+			cost += float64(b.nodes[at].calls)
+			if !b.nodes[at].near {
+				cost += 0.01
+			}
+		}
+		if cost < best {
+			best, pick = cost, q.offset
+		}
+	}
+	q.offset = pick
+}
+
+// pick chooses the node for a part: the holder at the search's offset unless that is
+// shut or overdue, else the least overdue and least laden of the others.
+func (b *Broker) pick(q *Search, p *part) int {
+	hs, limit := b.holders[p.shard], overdue*b.kinds[q.kind].aim
+	best, bestLag, bestOut := -1, 0.0, 0
+	for pass := range 2 {
+		for j := range hs {
+			h := hs[(q.offset+j)%len(hs)]
+			n := &b.nodes[h]
+			if h == p.node || !b.open(n, b.kinds[q.kind].work, pass == 1) {
+				continue
+			}
+			lag := max(b.lag(n)-limit, 0)
+			if j == 0 && lag == 0 {
+				return h
+			}
+			if best < 0 || lag < bestLag || lag == bestLag && n.calls < bestOut {
+				best, bestLag, bestOut = h, lag, n.calls
+			}
+		}
+		if best >= 0 {
+			break
+		}
+	}
+	return best
+}
+
+// open: may a node be sent this much work now? A sick one only for a trial, or with
+// desperate when no holder is sound, one part at a time.
+func (b *Broker) open(n *node, work float64, desperate bool) bool {
+	if n.standing != Active || n.sick && !(n.out == 0 && (n.trial || desperate)) {
+		return false
+	}
+	// Guards against pushing over a node that has just started: all work sent within a
+	// fall window counts, and the other brokers are taken to send as we do. A warm node's
+	// load is the measure, so a fleet with none gets one part a window.
+	if age := b.now - n.started; n.started >= 0 && age < b.cold {
+		warmth := b.coldFrom + (1-b.coldFrom)*max(age, 0)/b.cold
+		sent := n.sent.since(b.now - b.fall)
+		return sent+work <= b.fallBy*warmth*b.bear || b.bear == 0 && sent == 0
+	}
+	return true
+}
+
+// lag is how late a node is, by the sub-request it has owed longest and by what its
+// last replies took, which fades as it tells less and less.
+func (b *Broker) lag(n *node) float64 {
+	lag := n.lat * math.Exp2((n.latAt-b.now)/memory)
+	if n.oldest != nil {
+		lag = max(lag, b.now-n.oldest.sent)
+	}
+	return lag
+}
+
+// unlucky sheds by chance under overload: the more of its target a search is expected to
+// use up, and the less value it brings for its work, the likelier.
+func (b *Broker) unlucky(q *Search, k *kind) bool {
+	b.scratch = b.scratch[:0]
+	work := 0.0
+	for _, p := range q.parts {
+		wait := k.aim
+		if at := b.pick(q, p); at >= 0 {
+			wait = b.lag(&b.nodes[at])
+		}
+		b.scratch = append(b.scratch, wait+k.work)
+		work += k.work
+	}
+	if len(q.parts) == 0 {
+		return false
+	}
+	slices.Sort(b.scratch)
+	wait := b.scratch[max(int(math.Ceil(k.need*float64(len(b.scratch))-short))-1, 0)]
+	if k.fetch > 0 {
+		wait *= 2
+	}
+	rate := q.value
+	if !b.byWork {
+		rate /= work
+	}
+	if b.worth == 0 {
+		b.worth = rate
+	}
+	b.worth += 0.01 * (rate - b.worth)
+	from := min(max(shedFrom+shedTilt*math.Log(rate/b.worth+1e-9), 0.1), 0.9)
+	used := (b.now - q.born + wait) / (q.aim - q.born)
+	return b.rand.next() < (used-from)/(shedFull-from)
+}
+
+// heard takes in an answer.
+func (b *Broker) heard(n *node, p *part, k *kind, took float64) {
+	if !k.seen {
+		k.work, k.seen = took, true
+	} else if took < k.work {
+		k.work -= learnDown * k.work
+	} else {
+		k.work += learnUp * k.work
+	}
+	n.lat += 0.3 * (took - n.lat)
+	n.latAt = b.now
+	n.done.add(b.now, k.work)
+	n.good++
+	if n.sick && took < overdue*k.aim {
+		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
+		// Guards against a node that fell silent and came back cold before the list tells.
+		if n.mute && b.cold > 0 {
+			n.started = b.now
+		}
+		n.mute = false
+	}
+}
+
+// blame notes a failure of a node; one that speaks of the process may mean a restart.
+func (b *Broker) blame(n *node, weight float64, mute bool) {
+	n.bad += weight
+	n.mute = n.mute || mute
+	if n.sick {
+		b.rest(n)
+	}
+}
+
+// silent notes that a sub-request got no answer in good time. If nothing at all came
+// from the node since, the node itself is in doubt, not the part.
+func (b *Broker) silent(n *node, p *part) {
+	if p.late {
+		return // already blamed when it became overdue
+	}
+	if n.latAt < p.sent {
+		b.blame(n, loud, true)
+	} else {
+		b.blame(n, 1, false)
+	}
+	n.lat, n.latAt = max(n.lat, b.now-p.sent), max(b.now, n.latAt)
+}
+
+func (b *Broker) rest(n *node) {
+	n.trial = false
+	n.pause = min(max(2*n.pause, firstRest), lastRest)
+	n.retryAt = b.now + n.pause*(0.75+0.5*b.rand.next())
+}
+
+// Probed says what a probe found.
+func (b *Broker) Probed(at int, ok bool) {
+	n := &b.nodes[at]
+	n.probing = false
+	if n.sick && ok {
+		n.trial = true
+	} else if n.sick {
+		b.rest(n)
+	}
+}
+
+// press lowers the cap when too many parts come back full or late, and raises it again.
+func (b *Broker) press(bad bool) {
+	x := 0.0
+	if bad {
+		x = 1
+	}
+	b.lateness += 0.03 * (x - b.lateness)
+	if !bad {
+		b.cap = min(b.cap+capGain, b.most)
+	} else if b.lateness > lateLot && b.now >= b.cutAt+capRest {
+		b.cap = max(b.least, capCut*min(b.cap, float64(b.flying+1)))
+		b.cutAt = b.now
+	}
+}
+
+// judge compares each node's share of failures with the fleet's median, and measures
+// what a warm node bears.
+func (b *Broker) judge() {
+	b.judgeAt = b.now + judging
+	b.scratch = b.scratch[:0]
+	bears, warm, active := 0.0, 0, 0
+	for i := range b.nodes {
+		n := &b.nodes[i]
+		if n.standing != Active {
+			continue
+		}
+		active++
+		n.good *= fading
+		n.bad *= fading
+		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+1))
+		if !n.sick && (n.started < 0 || b.now-n.started >= b.cold) {
+			bears += n.done.since(b.now - b.fall)
+			warm++
+		}
+	}
+	if active == 0 {
+		return
+	}
+	b.least = float64(2 * active)
+	if warm > 0 && 3*warm >= active {
+		b.bear += 0.05 * (bears/float64(warm) - b.bear)
+	}
+	slices.Sort(b.scratch)
+	median := b.scratch[len(b.scratch)/2]
+	for i := range b.nodes {
+		n := &b.nodes[i]
+		if n.standing != Active {
+			continue
+		}
+		if !n.sick && n.bad/(n.good+n.bad+1) > median+margin {
+			n.sick = true
+			b.rest(n)
+		}
+		if n.sick && !n.trial && !n.probing && b.now >= n.retryAt {
+			if b.probes {
+				n.probing = true
+				b.host.Probe(i)
+			} else {
+				n.trial = true
+			}
+		}
+	}
+}
+
+// sweep looks for parts that are overdue and searches whose time is up.
+func (b *Broker) sweep() {
+	b.sweepAt = b.now + b.period
+	for i := range b.nodes {
+		n := &b.nodes[i]
+		for p := n.oldest; p != nil; {
+			younger, k := p.younger, &b.kinds[p.q.kind]
+			if age := b.now - p.sent; age > overdue*k.aim {
+				if !p.late {
+					// Hung parts leave the cap, or the head search would hold its share of it for ever.
+					b.silent(n, p)
+					p.late = true
+					b.flying--
+				}
+				b.move(n, p, k, age)
+			}
+			p = younger
+		}
+	}
+	for q := b.head; q != nil; {
+		next, k := q.next, &b.kinds[q.kind]
+		switch {
+		case b.now >= q.cutoff:
+			q.quit()
+		case b.now >= q.aim-b.period && q.got >= k.least-short && q.got > 0 && k.least < k.need-short &&
+			(q.fetched || k.fetch == 0) && k.partial > k.late:
+			q.answer(false)
+		case b.now >= q.aim && k.late == 0 && q.waiting > 0:
+			// What is past its target and needs more sends only takes room from others.
+			q.quit()
+		}
+		q = next
+	}
+}
+
+// move cancels an overdue sub-request so that its part can go to another holder, where
+// the search needs the part, and the other is so much less late that it is worth it.
+func (b *Broker) move(n *node, p *part, k *kind, age float64) {
+	q := p.q
+	if q.ended || p.at < q.first || p.dropped || !b.cancels || p.tries >= b.tries || !b.spare() {
+		return
+	}
+	if k.effect == NonIdempotent || k.effect == Tokened && b.now+age > p.sent+k.window {
+		return
+	}
+	if b.now >= q.aim && k.late == 0 {
+		return
+	}
+	coming := q.got
+	for _, o := range q.parts[q.first:] {
+		if o.state == unsent || o.state == out && !o.late {
+			coming += o.weight
+		}
+	}
+	need := k.need
+	if q.fetched {
+		need = 1
+	}
+	if coming >= need-short {
+		return
+	}
+	if at := b.pick(q, p); at < 0 || b.lag(&b.nodes[at]) > better*age {
+		return
+	}
+	p.dropped = true
+	b.owed++
+	n.delist(p)
+	b.host.Cancel(q, p.at, p.tries-1)
+}
+
+// List takes in the node list: changes, or with all the whole of it, so that who is not
+// in it is gone.
+func (b *Broker) List(all bool, entries []Listed) {
+	if all {
+		for i := range b.nodes {
+			b.nodes[i].standing = Gone
+		}
+	}
+	for _, e := range entries {
+		for len(b.nodes) <= e.Node {
+			b.nodes = append(b.nodes, node{standing: Gone, started: -1, turn: -1})
+			b.seen = append(b.seen, 0)
+		}
+		n := &b.nodes[e.Node]
+		if e.Started > 0 && e.Started > n.started {
+			if n.known || b.now-e.Started < b.cold {
+				n.started = e.Started
+				n.sick, n.trial, n.mute, n.good, n.bad, n.lat = false, false, false, 0, 0, 0
+			}
+		}
+		n.known, n.cell, n.near, n.standing = true, e.Cell, e.Near, e.Standing
+	}
+	for c := range b.members {
+		b.members[c] = b.members[c][:0]
+	}
+	for pass := range 2 {
+		for i := range b.nodes {
+			if n := &b.nodes[i]; n.standing != Gone && n.near == (pass == 0) && n.cell < len(b.members) {
+				b.members[n.cell] = append(b.members[n.cell], i)
+			}
+		}
+	}
+	b.spread = 0
+	for s := range b.holders {
+		b.holders[s] = b.holders[s][:0]
+		for j := range b.reach {
+			b.holders[s] = append(b.holders[s], b.members[(s+j)%len(b.members)]...)
+		}
+		b.spread = max(b.spread, len(b.holders[s]))
+	}
+}
+
+// Unlisted says that the node list could not be had, or that its subscription broke.
+func (b *Broker) Unlisted() {
+	b.watching = false
+	b.watchGap = min(max(2*b.watchGap, firstRest), lastRest)
+	b.watchAt = b.now + b.watchGap*(0.5+b.rand.next())
+}
--- /dev/null
+++ b/balance/state.go
@@ -0,0 +1,259 @@
+package balance
+
+// Bookkeeping only: what is out, where, and since when. Nothing here decides.
+
+type partState uint8
+
+const (
+	unsent partState = iota
+	out
+	landed
+	spent // may not be sent again
+)
+
+// part is one part of a search; as no part has two sub-requests out, the fields
+// of its newest one stand here too.
+type part struct {
+	q              *Search
+	at             int // index within the search
+	shard          int
+	weight, work   float64
+	state          partState
+	tries          int
+	mayRun         float64 // when the first sub-request that may have run was sent; below 0: none
+	node, call     int
+	sent           float64
+	older, younger *part // the node's sub-requests that are awaited, by age
+	aged           bool  // in that list
+	late, dropped  bool  // overdue and so outside the cap; cancelled by us
+}
+
+// Search is the handle of one search in hand.
+type Search struct {
+	b                 *Broker
+	place             int
+	kind              int
+	born, aim, cutoff float64
+	hint, value       float64
+	offset            int
+	parts             []*part
+	first             int // where the current step's parts begin
+	got, lost         float64
+	waiting, flying   int // parts unsent; sub-requests out
+	begun, ended      bool
+	fetched, whole    bool // the first step is answered; it was whole
+	prev, next        *Search
+}
+
+// Place is the search's place in the slab; it is reused once the search has
+// ended and every sub-request has reported.
+func (q *Search) Place() int { return q.place }
+
+// Tries is how many sub-requests a part has had.
+func (q *Search) Tries(i int) int { return q.parts[i].tries }
+
+// Node is where a part's newest sub-request went.
+func (q *Search) Node(i int) int { return q.parts[i].node }
+
+type node struct {
+	known      bool
+	cell       int
+	near       bool
+	standing   Standing
+	started    float64 // cold from here on; below 0: long ago
+	out, calls int
+	turn       int // the turn of the newest call
+	call       int // that call
+	joined     int // parts in it
+	oldest     *part
+	youngest   *part
+	lat, latAt float64 // recent reply time, and when it was noted
+	good, bad  float64
+	sick       bool
+	trial      bool
+	retryAt    float64
+	pause      float64
+	probing    bool
+	mute       bool // failed without a word, so it may come back cold
+	sent       tally
+	done       tally
+}
+
+func (n *node) enlist(p *part) {
+	p.older, p.younger, p.aged = n.youngest, nil, true
+	if n.youngest != nil {
+		n.youngest.younger = p
+	} else {
+		n.oldest = p
+	}
+	n.youngest = p
+}
+
+func (n *node) delist(p *part) {
+	if !p.aged {
+		return
+	}
+	p.aged = false
+	if p.older != nil {
+		p.older.younger = p.younger
+	} else {
+		n.oldest = p.younger
+	}
+	if p.younger != nil {
+		p.younger.older = p.older
+	} else {
+		n.youngest = p.older
+	}
+	p.older, p.younger = nil, nil
+}
+
+// tally sums amounts over a sliding window.
+type tally struct {
+	at, amount []float64
+	from       int
+	sum        float64
+}
+
+func (t *tally) add(now, x float64) {
+	if k := len(t.at); k > t.from && t.at[k-1] == now {
+		t.amount[k-1] += x
+		t.sum += x
+		return
+	}
+	if t.from > 0 && len(t.at) == cap(t.at) {
+		k := copy(t.at, t.at[t.from:])
+		copy(t.amount, t.amount[t.from:])
+		t.at, t.amount, t.from = t.at[:k], t.amount[:k], 0
+	}
+	t.at, t.amount = append(t.at, now), append(t.amount, x)
+	t.sum += x
+}
+
+// since forgets all before that time and sums the rest.
+func (t *tally) since(from float64) float64 {
+	for t.from < len(t.at) && t.at[t.from] < from {
+		t.sum -= t.amount[t.from]
+		t.from++
+	}
+	if t.from == len(t.at) {
+		t.at, t.amount, t.from, t.sum = t.at[:0], t.amount[:0], 0, 0
+	}
+	return t.sum
+}
+
+// chance is a multiply-with-carry generator.
+type chance struct{ x, c uint64 }
+
+func (r *chance) seed(s uint64) {
+	r.x, r.c = s&0xffffffff, s>>32&0x7fffffff|1
+	for range 8 {
+		r.next()
+	}
+}
+
+func (r *chance) next() float64 {
+	t := 4294957665*r.x + r.c
+	r.x, r.c = t&0xffffffff, t>>32
+	return float64(r.x) / (1 << 32)
+}
+
+// take finds a place in the slab and puts the search at the end of the line.
+func (b *Broker) take() *Search {
+	var q *Search
+	if k := len(b.free); k > 0 {
+		q, b.free = b.free[k-1], b.free[:k-1]
+		*q = Search{b: b, place: q.place, parts: q.parts[:0]}
+	} else {
+		q = &Search{b: b, place: b.places}
+		b.places++
+	}
+	if q.prev = b.tail; q.prev != nil {
+		q.prev.next = q
+	} else {
+		b.head = q
+	}
+	b.tail = q
+	b.live++
+	return q
+}
+
+// leave takes an ended search out of the line, and frees its place once
+// nothing of it is out.
+func (b *Broker) leave(q *Search) {
+	if q.prev != nil {
+		q.prev.next = q.next
+	} else {
+		b.head = q.next
+	}
+	if q.next != nil {
+		q.next.prev = q.prev
+	} else {
+		b.tail = q.prev
+	}
+	q.prev, q.next = nil, nil
+	b.live--
+	b.reuse(q)
+}
+
+func (b *Broker) reuse(q *Search) {
+	if q.ended && q.flying == 0 {
+		b.free = append(b.free, q)
+	}
+}
+
+func (q *Search) grow() *part {
+	k := len(q.parts)
+	if k < cap(q.parts) {
+		q.parts = q.parts[:k+1]
+	} else {
+		q.parts = append(q.parts, nil)
+	}
+	if q.parts[k] == nil {
+		q.parts[k] = new(part)
+	}
+	*q.parts[k] = part{q: q, at: k, mayRun: -1, node: -1}
+	return q.parts[k]
+}
+
+// launch notes a sub-request on its way, in the node's call of this turn while that has room.
+func (b *Broker) launch(p *part, at int) {
+	n := &b.nodes[at]
+	if n.turn != b.turn || n.joined >= b.perCall {
+		n.turn, n.joined = b.turn, 0
+		if k := len(b.freeCalls); k > 0 {
+			n.call, b.freeCalls = b.freeCalls[k-1], b.freeCalls[:k-1]
+		} else {
+			n.call = len(b.calls)
+			b.calls = append(b.calls, 0)
+		}
+		n.calls++
+	}
+	n.joined++
+	b.calls[n.call]++
+	p.node, p.call, p.sent, p.state, p.late, p.dropped = at, n.call, b.now, out, false, false
+	p.tries++
+	n.out++
+	n.enlist(p)
+	p.q.flying++
+	p.q.waiting--
+	b.flying++
+}
+
+// land notes that a sub-request has ended.
+func (b *Broker) land(p *part) *node {
+	n := &b.nodes[p.node]
+	n.delist(p)
+	n.out--
+	if b.calls[p.call]--; b.calls[p.call] == 0 {
+		b.freeCalls = append(b.freeCalls, p.call)
+		n.calls--
+		if n.call == p.call {
+			n.joined = b.perCall
+		}
+	}
+	p.q.flying--
+	if !p.late {
+		b.flying--
+	}
+	return n
+}
