--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,11 +33,11 @@
 	own       = 0.2  // further sub-requests per search and part taken, where no budget is stated
 	ownOver   = 10.0 // over so many seconds
 	lateLot   = 0.25 // share of late or refused parts that lowers the cap
-	capCut    = 0.9  // by this factor
+	capCut    = 0.85 // by this factor
 	capRest   = 0.25 // at most once in so many seconds
 	capGain   = 0.5  // and what each part in time adds again
-	shedFrom  = 0.6  // expected share of the target used at which average searches begin to be shed
-	shedFull  = 1.2  // and at which all are
+	shedFrom  = 0.35 // expected share of the target used at which average searches begin to be shed
+	shedFull  = 0.8  // and at which all are
 	shedTilt  = 0.25 // how far the start moves for each e-fold of value
 	unseen    = 0.08 // share of the target that a part's work is taken for until it is known
 	learnUp   = 0.01 // the work of a part follows a low quantile of reply times, clear of waiting
@@ -149,6 +149,9 @@
 	q.aim = b.now + min(k.aim, left)
 	q.cutoff = b.now + left - b.guard
 	q.value = k.value
+	if q.cutoff <= b.now+b.period {
+		b.sweepAt = b.now // so little time left cannot wait for the next sweep
+	}
 	if dealer >= 0 && dealer < len(b.quotas) {
 		quota := b.quotas[dealer]
 		left := min(b.tokens[dealer]+quota*(b.now-b.tokensAt[dealer]), 2*quota)
@@ -216,7 +219,7 @@
 		p.mayRun = p.sent
 	}
 	if how == Full || how == OK || how == TimedOut {
-		b.press(how == Full || took > better*k.aim)
+		b.press(how == Full || took > overdue*k.aim)
 	}
 	switch {
 	case q.ended:
@@ -330,7 +333,7 @@
 		}
 		q = next
 	}
-	if b.wakeAt <= b.now {
+	if b.wakeAt <= b.now+b.period/8 {
 		b.wakeAt = b.now + judging
 		if b.live > 0 {
 			b.wakeAt = b.now + b.period
@@ -502,7 +505,7 @@
 		b.worth = rate
 	}
 	b.worth += 0.01 * (rate - b.worth)
-	from := min(max(shedFrom+shedTilt*math.Log(rate/b.worth+1e-9), 0.1), 0.9)
+	from := min(max(shedFrom+shedTilt*math.Log(rate/b.worth+1e-9), 0.1), shedFull-0.1)
 	used := (b.now - q.born + wait) / (q.aim - q.born)
 	return b.rand.next() < (used-from)/(shedFull-from)
 }
@@ -576,9 +579,9 @@
 	if bad {
 		x = 1
 	}
-	b.lateness += 0.03 * (x - b.lateness)
+	b.lateness += 0.1 * (x - b.lateness)
 	if !bad {
-		b.cap = min(b.cap+capGain, b.most)
+		b.cap = min(b.cap+capGain/b.cap, b.most)
 	} else if b.lateness > lateLot && b.now >= b.cutAt+capRest {
 		b.cap = max(b.least, capCut*min(b.cap, float64(b.flying+1)))
 		b.cutAt = b.now
