--- a/balance/balance.go
+++ b/balance/balance.go
@@ -493,7 +493,7 @@
 		return false
 	}
 	slices.Sort(b.scratch)
-	wait := b.scratch[max(int(math.Ceil(k.need*float64(len(b.scratch))-short))-1, 0)]
+	wait := b.scratch[len(b.scratch)/2]
 	if k.fetch > 0 {
 		wait *= 2
 	}
