--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,6 +37,7 @@
 	capRest   = 0.25 // at most once in so many seconds
 	capGain   = 0.5  // and what each part in time adds again
 	shedFrom  = 0.35 // expected share of the target used at which average searches begin to be shed
+	thrift    = 0.25 // expected share of the target used from which spare parts wait
 	shedFull  = 0.8  // and at which all are
 	shedTilt  = 0.25 // how far the start moves for each e-fold of value
 	unseen    = 0.08 // share of the target that a part's work is taken for until it is known
@@ -251,12 +252,28 @@
 	return k.effect == Tokened && b.now < p.mayRun+k.window
 }
 
+// need is the share of the current step's weight that answers it.
+func (q *Search) need() float64 {
+	if q.fetched {
+		return 1
+	}
+	return q.b.kinds[q.kind].need
+}
+
+// coming is the weight that is in or on its way and not overdue.
+func (q *Search) coming() float64 {
+	w := q.got
+	for _, p := range q.parts[q.first:] {
+		if p.state == out && !p.late {
+			w += p.weight
+		}
+	}
+	return w
+}
+
 // settle answers a search that has what it needs and ends one that cannot get it.
 func (q *Search) settle() {
-	need := 1.0
-	if !q.fetched {
-		need = q.b.kinds[q.kind].need
-	}
+	need := q.need()
 	if q.got >= need-short && len(q.parts) > q.first {
 		q.answer(true)
 	} else if 1-q.lost < need-short {
@@ -360,10 +377,14 @@
 			return true
 		}
 	}
+	coming := q.coming()
 	for _, p := range q.parts[q.first:] {
 		if p.state != unsent {
 			continue
 		}
+		if q.thrifty && coming >= q.need()-short {
+			break // enough is on its way; the spare parts wait for one of these to fail or be late
+		}
 		if float64(b.flying) >= b.cap {
 			return false
 		}
@@ -383,6 +404,7 @@
 		}
 		b.nodes[at].sent.add(b.now, k.work)
 		b.launch(p, at)
+		coming += p.weight
 		b.host.Send(q, p.at, at, wait)
 	}
 	return true
@@ -507,6 +529,9 @@
 	b.worth += 0.01 * (rate - b.worth)
 	from := min(max(shedFrom+shedTilt*math.Log(rate/b.worth+1e-9), 0.1), shedFull-0.1)
 	used := (b.now - q.born + wait) / (q.aim - q.born)
+	// Spare parts pay while reply times are random; when all nodes are slow together
+	// they are real work, so then a search asks for what it needs and no more at first.
+	q.thrifty = used > thrift
 	return b.rand.next() < (used-from)/(shedFull-from)
 }
 
@@ -664,7 +689,7 @@
 		case b.now >= q.aim-b.period && q.got >= k.least-short && q.got > 0 && k.least < k.need-short &&
 			(q.fetched || k.fetch == 0) && k.partial > k.late:
 			q.answer(false)
-		case b.now >= q.aim && k.late == 0 && q.waiting > 0:
+		case b.now >= q.aim && k.late == 0 && q.waiting > 0 && q.coming() < q.need()-short:
 			// What is past its target and needs more sends only takes room from others.
 			q.quit()
 		}
@@ -685,17 +710,7 @@
 	if b.now >= q.aim && k.late == 0 {
 		return
 	}
-	coming := q.got
-	for _, o := range q.parts[q.first:] {
-		if o.state == unsent || o.state == out && !o.late {
-			coming += o.weight
-		}
-	}
-	need := k.need
-	if q.fetched {
-		need = 1
-	}
-	if coming >= need-short {
+	if coming := q.coming(); q.thrifty && q.waiting > 0 || coming >= q.need()-short {
 		return
 	}
 	if at := b.pick(q, p); at < 0 || b.lag(&b.nodes[at]) > better*age {
--- a/balance/state.go
+++ b/balance/state.go
@@ -41,6 +41,7 @@
 	got, lost         float64
 	waiting, flying   int // parts unsent; sub-requests out
 	begun, ended      bool
+	thrifty           bool // its spare parts wait until they are needed
 	fetched, whole    bool // the first step is answered; it was whole
 	prev, next        *Search
 }
