Spare parts are not asked of overdue nodes; the deciding part's wait sheds too

Cause: with a leaf hung or silent its partner carries twice the load, and searches that touch the pair queue there until late.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,6 +38,7 @@
 	capGain   = 0.5  // and what each part in time adds again
 	shedFrom  = 0.35 // expected share of the target used at which average searches begin to be shed
 	thrift    = 0.25 // expected share of the target used from which spare parts wait
+	narrow    = 0.6  // weight of the part that decides, against the median one: it may be one node's trouble
 	shedFull  = 0.8  // and at which all are
 	shedTilt  = 0.25 // how far the start moves for each e-fold of value
 	unseen    = 0.08 // share of the target that a part's work is taken for until it is known
@@ -377,35 +378,36 @@
 			return true
 		}
 	}
-	coming := q.coming()
-	for _, p := range q.parts[q.first:] {
-		if p.state != unsent {
-			continue
-		}
-		if q.thrifty && coming >= q.need()-short {
-			break // enough is on its way; the spare parts wait for one of these to fail or be late
-		}
-		if float64(b.flying) >= b.cap {
-			return false
-		}
-		if p.tries > 0 && (!b.again(p) || !b.spare()) {
-			continue
-		}
-		at := b.pick(q, p)
-		if at < 0 {
-			continue
-		}
-		if p.tries > 0 {
-			b.further.add(b.now, 1)
-		}
-		wait := 0.0
-		if !b.cancels && k.effect != NonIdempotent {
-			wait = better * k.aim
+	coming, limit := q.coming(), overdue*k.aim
+	for pass := range 2 {
+		for _, p := range q.parts[q.first:] {
+			// Enough on its way: spare parts wait where all nodes are slow, and where theirs is.
+			enough := coming >= q.need()-short
+			if p.state != unsent || enough && (q.thrifty || pass == 1) {
+				continue
+			}
+			if float64(b.flying) >= b.cap {
+				return false
+			}
+			if p.tries > 0 && (!b.again(p) || !b.spare()) {
+				continue
+			}
+			at := b.pick(q, p)
+			if at < 0 || pass == 0 && b.lag(&b.nodes[at]) > limit {
+				continue
+			}
+			if p.tries > 0 {
+				b.further.add(b.now, 1)
+			}
+			wait := 0.0
+			if !b.cancels && k.effect != NonIdempotent {
+				wait = better * k.aim
+			}
+			b.nodes[at].sent.add(b.now, k.work)
+			b.launch(p, at)
+			coming += p.weight
+			b.host.Send(q, p.at, at, wait)
 		}
-		b.nodes[at].sent.add(b.now, k.work)
-		b.launch(p, at)
-		coming += p.weight
-		b.host.Send(q, p.at, at, wait)
 	}
 	return true
 }
@@ -515,7 +517,8 @@
 		return false
 	}
 	slices.Sort(b.scratch)
-	wait := b.scratch[len(b.scratch)/2]
+	last := max(int(math.Ceil(k.need*float64(len(b.scratch))-short))-1, 0)
+	wait := max(b.scratch[len(b.scratch)/2], narrow*b.scratch[last])
 	if k.fetch > 0 {
 		wait *= 2
 	}
@@ -710,7 +713,7 @@
 	if b.now >= q.aim && k.late == 0 {
 		return
 	}
-	if coming := q.coming(); q.thrifty && q.waiting > 0 || coming >= q.need()-short {
+	if coming := q.coming(); q.waiting > 0 || coming >= q.need()-short {
 		return
 	}
 	if at := b.pick(q, p); at < 0 || b.lag(&b.nodes[at]) > better*age {
