--- a/balance/balance.go
+++ b/balance/balance.go
@@ -491,11 +491,14 @@
 }
 
 // lag is how late a node is, by the sub-request it has owed longest and by what its
-// last replies took, which fades as it tells less and less.
+// last replies took, which fades as it tells less and less. A sub-request overtaken by
+// a reply to a later one is left out: it may be a costly part on a node that is well.
 func (b *Broker) lag(n *node) float64 {
 	lag := n.lat * math.Exp2((n.latAt-b.now)/memory)
-	if n.oldest != nil {
-		lag = max(lag, b.now-n.oldest.sent)
+	for p := n.oldest; p != nil; p = p.younger {
+		if p.sent > n.overtaken {
+			return max(lag, b.now-p.sent)
+		}
 	}
 	return lag
 }
@@ -548,7 +551,7 @@
 		k.work += learnUp * k.work
 	}
 	n.lat += 0.3 * (took - n.lat)
-	n.latAt = b.now
+	n.latAt, n.overtaken = b.now, max(n.overtaken, p.sent)
 	n.done.add(b.now, k.work)
 	n.good++
 	if n.sick && took < overdue*k.aim {
--- a/balance/state.go
+++ b/balance/state.go
@@ -69,6 +69,7 @@
 	oldest     *part
 	youngest   *part
 	lat, latAt float64 // recent reply time, and when it was noted
+	overtaken  float64 // the latest send that has been answered
 	good, bad  float64
 	sick       bool
 	trial      bool
