Guess a cold node's capacity from the busier warm nodes, not from the mean

Cause: the guard on cold nodes held releases' successors, and nodes back from silence, far below what they could do, so searches waited and were shed. Could hurt: bursts that one broker sees alone raise its guess; the answered work of a node bounds it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,6 +23,7 @@
 	better    = 0.5  // a part is resent where the other holder lags by less than this share of its wait
 	memory    = 1.0  // seconds in which what a node's lateness counts for halves
 	ease      = 0.75 // share of the safe work that a cold node is given, for what one broker cannot see
+	peak      = 0.85 // where in the spread of warm nodes' loads the capacity of a cold one is put
 	margin    = 0.3  // failure share beyond the fleet's median that makes a node sick
 	judging   = 0.25 // seconds between judgements of the nodes
 	fading    = 0.91 // what a node's record keeps from one judgement to the next: halves in 2 s
@@ -509,7 +510,7 @@
 	b.scratch = b.scratch[:0]
 	work := 0.0
 	for _, p := range q.parts {
-		wait := k.aim
+		wait := min(b.fall, k.aim) / 2 // no holder is open: the guard on cold nodes frees within a window
 		if at := b.pick(q, p); at >= 0 {
 			wait = b.lag(&b.nodes[at])
 		}
@@ -624,7 +625,7 @@
 func (b *Broker) judge() {
 	b.judgeAt = b.now + judging
 	b.scratch = b.scratch[:0]
-	bears, warm, active := 0.0, 0, 0
+	rise, sink, warm, active := 0.0, 0.0, 0, 0
 	for i := range b.nodes {
 		n := &b.nodes[i]
 		if n.standing != Active {
@@ -635,8 +636,12 @@
 		n.bad *= fading
 		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+1))
 		if !n.sick && (n.started < 0 || b.now-n.started >= b.cold) {
-			bears += n.done.since(b.now - b.fall)
 			warm++
+			if x := n.done.since(b.now-b.fall) - b.bear; x > 0 {
+				rise += x
+			} else {
+				sink += x
+			}
 		}
 	}
 	if active == 0 {
@@ -644,7 +649,7 @@
 	}
 	b.least = float64(2 * active)
 	if warm > 0 && 3*warm >= active {
-		b.bear += 0.05 * (bears/float64(warm) - b.bear)
+		b.bear += 0.1 * (peak*rise + (1-peak)*sink) / float64(warm)
 	}
 	slices.Sort(b.scratch)
 	median := b.scratch[len(b.scratch)/2]
