--- a/balance/balance.go
+++ b/balance/balance.go
@@ -129,8 +129,8 @@
 	if how != OK && how != Full && how != Moot && how != Unreached && p.mayRun < 0 {
 		p.mayRun = p.sent
 	}
-	if how == Full || how == OK || how == TimedOut {
-		b.press(how == Full || took > overdue*k.aim)
+	if how == Full || how == OK && !p.late {
+		b.press(how == Full)
 	}
 	switch {
 	case q.ended:
@@ -456,7 +456,7 @@
 		k.work += learnUp * k.work
 	}
 	n.lat += 0.3 * (took - n.lat)
-	n.latAt, n.overtaken = b.now, max(n.overtaken, p.sent)
+	n.latAt, n.heardAt, n.overtaken = b.now, b.now, max(n.overtaken, p.sent)
 	n.done.add(b.now, k.work)
 	n.good++
 	if n.sick && took < overdue*k.aim {
@@ -484,12 +484,12 @@
 	if p.late {
 		return // already blamed when it became overdue
 	}
-	if n.latAt < p.sent {
+	if n.heardAt < p.sent {
 		b.blame(n, loud, true)
 	} else {
 		b.blame(n, 1, false)
 	}
-	n.lat, n.latAt = max(n.lat, b.now-p.sent), max(b.now, n.latAt)
+	n.lat, n.latAt = max(n.lat, b.now-p.sent), b.now
 }
 
 func (b *Broker) rest(n *node) {
@@ -586,9 +586,14 @@
 			younger, k := p.younger, &b.kinds[p.q.kind]
 			if age := b.now - p.sent; age > overdue*k.aim {
 				if !p.late {
-					// Hung parts leave the cap, or the head search would hold its share of it for ever.
-					b.silent(n, p)
 					p.late = true
+					b.press(true)
+					b.silent(n, p)
+				}
+				// Hung parts leave the cap, or the head search would hold its share of it for ever.
+				// Parts of a node that goes on answering are load like any other and stay.
+				if !p.hung && n.heardAt < p.sent {
+					p.hung = true
 					b.flying--
 				}
 				b.move(n, p, k, age)
--- a/balance/state.go
+++ b/balance/state.go
@@ -125,7 +125,8 @@
 	sent           float64
 	older, younger *part // the node's sub-requests that are awaited, by age
 	aged           bool  // in that list
-	late, dropped  bool  // overdue and so outside the cap; cancelled by us
+	late, hung     bool  // overdue; and so outside the cap
+	dropped        bool  // cancelled by us to be resent
 }
 
 // Search is the handle of one search in hand.
@@ -169,6 +170,7 @@
 	oldest     *part
 	youngest   *part
 	lat, latAt float64 // recent reply time, and when it was noted
+	heardAt    float64 // the last answer
 	overtaken  float64 // the latest send that has been answered
 	good, bad  float64
 	sick       bool
@@ -332,7 +334,7 @@
 	}
 	n.joined++
 	b.calls[n.call]++
-	p.node, p.call, p.sent, p.state, p.late, p.dropped = at, n.call, b.now, out, false, false
+	p.node, p.call, p.sent, p.state, p.late, p.hung, p.dropped = at, n.call, b.now, out, false, false, false
 	p.tries++
 	n.out++
 	n.enlist(p)
@@ -354,7 +356,7 @@
 		}
 	}
 	p.q.flying--
-	if !p.late {
+	if !p.hung {
 		b.flying--
 	}
 	return n
