--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,6 +26,7 @@
 	margin     = 0.3  // failure share beyond the fleet's median that makes a node sick
 	judging    = 0.25 // seconds between judgements of the nodes
 	fading     = 0.91 // what a node's record keeps from one judgement to the next: halves in 2 s
+	absence    = 2.0  // seconds of silence in which a node may have restarted unlisted
 	loud       = 3.0  // weight of a failure that speaks of the whole node, not of one part
 	firstRest  = 0.5  // seconds before a sick node is asked again; doubles with each try
 	lastRest   = 4.0  // up to this
@@ -129,8 +130,8 @@
 	if how != OK && how != Full && how != Moot && how != Unreached && p.mayRun < 0 {
 		p.mayRun = p.sent
 	}
-	if how == Full || how == OK && !p.late {
-		b.press(how == Full)
+	if how == Full || how == OK || p.late {
+		b.press(how == Full || b.now-p.sent > better*k.aim)
 	}
 	switch {
 	case q.ended:
@@ -456,17 +457,18 @@
 		k.work += learnUp * k.work
 	}
 	n.lat += 0.3 * (took - n.lat)
-	n.latAt, n.heardAt, n.overtaken = b.now, b.now, max(n.overtaken, p.sent)
+	n.latAt, n.overtaken = b.now, max(n.overtaken, p.sent)
 	n.done.add(b.now, k.work)
 	n.good++
 	if n.sick && took < overdue*k.aim {
 		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
 		// Guards against a node that fell silent and came back cold before the list tells.
-		if n.mute && b.cold > 0 {
+		if (n.mute || b.now-n.heardAt > absence) && b.cold > 0 {
 			n.started = b.now
 		}
 		n.mute = false
 	}
+	n.heardAt = b.now
 }
 
 // blame notes a failure of a node; one that speaks of the process may mean a restart.
@@ -478,17 +480,12 @@
 	}
 }
 
-// silent notes that a sub-request got no answer in good time. If nothing at all came
-// from the node since, the node itself is in doubt, not the part.
+// silent notes that a sub-request got no answer in good time.
 func (b *Broker) silent(n *node, p *part) {
 	if p.late {
 		return // already blamed when it became overdue
 	}
-	if n.heardAt < p.sent {
-		b.blame(n, loud, true)
-	} else {
-		b.blame(n, 1, false)
-	}
+	b.blame(n, 1, false)
 	n.lat, n.latAt = max(n.lat, b.now-p.sent), b.now
 }
 
@@ -587,14 +584,14 @@
 			if age := b.now - p.sent; age > overdue*k.aim {
 				if !p.late {
 					p.late = true
-					b.press(true)
 					b.silent(n, p)
 				}
 				// Hung parts leave the cap, or the head search would hold its share of it for ever.
 				// Parts of a node that goes on answering are load like any other and stay.
-				if !p.hung && n.heardAt < p.sent {
+				if !p.hung && age > better*k.aim && n.heardAt < p.sent {
 					p.hung = true
 					b.flying--
+					b.blame(n, loud, false)
 				}
 				b.move(n, p, k, age)
 			}
