Parts overtaken on their node, or late at two nodes, are not moved again

Cause: under load and with costly searches, overdue parts were moved again and again, each copy real work. A part that later ones overtook, or that was late twice, is slow by itself. Covers heavy_tail, bursts, shared slowdowns; could hurt where one node is slow for some parts only.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -627,6 +627,11 @@
 	if b.now >= q.aim && k.late == 0 {
 		return
 	}
+	// Guards against sending costly parts round and round: what later ones have overtaken,
+	// or what was late at two nodes, is slow by itself, unless the node is mute.
+	if !p.hung && (p.sent <= n.overtaken || p.tries > 1) {
+		return
+	}
 	if coming := q.coming(); q.waiting > 0 || coming >= q.need()-short {
 		return
 	}
