Overdue parts are blamed on their node again

Cause: an early return for parts already late stopped every blame for silence; the test of the silent node found it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -583,8 +583,8 @@
 			younger, k := p.younger, &b.kinds[p.q.kind]
 			if age := b.now - p.sent; age > overdue*k.aim {
 				if !p.late {
-					p.late = true
 					b.silent(n, p)
+					p.late = true
 				}
 				// Hung parts leave the cap, or the head search would hold its share of it for ever.
 				// Parts of a node that goes on answering are load like any other and stay.
