--- a/balance/balance.go
+++ b/balance/balance.go
@@ -256,8 +256,8 @@
 	}
 	for q := b.head; q != nil; {
 		next := q.next
-		if q.waiting > 0 {
-			b.send(q)
+		if q.waiting > 0 && !b.send(q) {
+			break
 		}
 		q = next
 	}
@@ -270,15 +270,18 @@
 	}
 }
 
-// send sends the parts of a search as far as there is room under the cap.
-func (b *Broker) send(q *Search) {
+// send sends the parts of a search; it tells whether there is room for the next one's.
+func (b *Broker) send(q *Search) bool {
 	k := &b.kinds[q.kind]
+	if float64(b.flying) >= b.cap {
+		return false
+	}
 	if !q.begun {
 		q.begun = true
 		b.align(q)
 		if b.unlucky(q, k) {
 			q.quit()
-			return
+			return true
 		}
 	}
 	coming, limit := q.coming(), overdue*k.aim
@@ -290,7 +293,7 @@
 				continue
 			}
 			if float64(b.flying) >= b.cap {
-				return
+				return false
 			}
 			if p.tries > 0 && (!b.again(p) || !b.spare()) {
 				continue
@@ -312,6 +315,7 @@
 			b.host.Send(q, p.at, at, wait)
 		}
 	}
+	return true
 }
 
 // spare: does the budget of further sub-requests hold one more? What was cancelled
@@ -436,15 +440,7 @@
 	}
 	b.worth += 0.01 * (rate - b.worth)
 	from := min(max(shedFrom+shedTilt*math.Log(rate/b.worth+1e-9), 0.1), shedFull-0.1)
-	if float64(b.flying) >= b.cap {
-		for o := b.head; o != q && wait < k.aim; o = o.next {
-			if o.waiting > 0 && o.got == 0 && o.flying == 0 {
-				wait += b.now - o.born // the line is as slow as its first search has found it
-				break
-			}
-		}
-	}
-	used := wait / (q.aim - q.born)
+	used := (b.now - q.born + wait) / (q.aim - q.born)
 	// Spare parts pay while reply times are random; when all nodes are slow together
 	// they are real work, so then a search asks for what it needs and no more at first.
 	q.thrifty = used > thrift
