The shedding range of each query type follows its share of overrun searches

Cause: at 0.6 of the target expected, a third of the searches still came late under overload, as many parts as a search needs are slower than the median one. Feedback: overruns narrow the range, answers in time widen it. Covers any overload whatever its cause; could hurt when one lasting hot spot makes a type overrun and others of it are shed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,34 +18,38 @@
 )
 
 const (
-	overdue    = 0.3  // share of the latency target after which a node's silence sends a part elsewhere
-	better     = 0.5  // a part is resent where the other holder lags by less than this share of its wait
-	memory     = 1.0  // seconds in which what a node's lateness counts for halves
-	ease       = 0.75 // share of the safe work that a cold node is given, for what one broker cannot see
-	peak       = 0.85 // where in the spread of warm nodes' loads the capacity of a cold one is put
-	margin     = 0.3  // failure share beyond the fleet's median that makes a node sick
-	judging    = 0.25 // seconds between judgements of the nodes
-	fading     = 0.91 // what a node's record keeps from one judgement to the next: halves in 2 s
-	absence    = 2.0  // seconds of silence in which a node may have restarted unlisted
-	loud       = 3.0  // weight of a failure that speaks of the whole node, not of one part
-	firstRest  = 0.5  // seconds before a sick node is asked again; doubles with each try
-	lastRest   = 4.0  // up to this
-	short      = 5e-5 // what sums of weights may fall short of by rounding
-	own        = 0.2  // further sub-requests per search and part taken, where no budget is stated
-	ownFew     = 10.0 // plus so many,
-	ownOver    = 10.0 // over so many seconds
-	saved      = 2.0  // seconds of its share that a dealer can save up
-	sweepTicks = 4    // ticks from one sweep to the next
-	guardTicks = 3    // ticks beyond that by which a final answer comes before the client's time is up
-	lateLot    = 0.25 // share of late or refused parts that lowers the cap
-	capCut     = 0.85 // by this factor
-	capRest    = 0.25 // at most once in so many seconds
-	capGain    = 0.5  // and what each part in time adds again
-	shedFrom   = 0.35 // expected share of the target used at which average searches begin to be shed
-	thrift     = 0.25 // expected share of the target used from which spare parts wait
-	narrow     = 0.6  // weight of the part that decides, against the median one: it may be one node's trouble
-	shedFull   = 0.8  // and at which all are
-	shedTilt   = 0.25 // how far the start moves for each e-fold of value
+	overdue    = 0.3   // share of the latency target after which a node's silence sends a part elsewhere
+	better     = 0.5   // a part is resent where the other holder lags by less than this share of its wait
+	memory     = 1.0   // seconds in which what a node's lateness counts for halves
+	ease       = 0.75  // share of the safe work that a cold node is given, for what one broker cannot see
+	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
+	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
+	judging    = 0.25  // seconds between judgements of the nodes
+	fading     = 0.91  // what a node's record keeps from one judgement to the next: halves in 2 s
+	absence    = 2.0   // seconds of silence in which a node may have restarted unlisted
+	loud       = 3.0   // weight of a failure that speaks of the whole node, not of one part
+	firstRest  = 0.5   // seconds before a sick node is asked again; doubles with each try
+	lastRest   = 4.0   // up to this
+	short      = 5e-5  // what sums of weights may fall short of by rounding
+	own        = 0.2   // further sub-requests per search and part taken, where no budget is stated
+	ownFew     = 10.0  // plus so many,
+	ownOver    = 10.0  // over so many seconds
+	saved      = 2.0   // seconds of its share that a dealer can save up
+	sweepTicks = 4     // ticks from one sweep to the next
+	guardTicks = 3     // ticks beyond that by which a final answer comes before the client's time is up
+	lateLot    = 0.25  // share of late or refused parts that lowers the cap
+	capCut     = 0.85  // by this factor
+	capRest    = 0.25  // at most once in so many seconds
+	capGain    = 0.5   // and what each part in time adds again
+	shedFrom   = 0.35  // expected share of the target used at which average searches begin to be shed
+	thrift     = 0.25  // expected share of the target used from which spare parts wait
+	narrow     = 0.6   // weight of the part that decides, against the median one: it may be one node's trouble
+	shedFull   = 0.8   // and at which all are
+	shedTilt   = 0.25  // how far the start moves for each e-fold of value
+	slackUp    = 0.006 // a search answered in time widens its type's range of shedding by this share,
+	slackDown  = 0.06  // one that overran its target narrows it: about one in eleven may
+	slackMost  = 1.5
+	slackLeast = 0.3
 	unseen     = 0.08 // share of the target that a part's work is taken for until it is known
 	learnUp    = 0.01 // the work of a part follows a low quantile of reply times, clear of waiting
 	learnDown  = 0.09 // by moving up and down at these rates
@@ -195,6 +199,9 @@
 func (q *Search) answer(whole bool) {
 	b, k := q.b, &q.b.kinds[q.kind]
 	if q.fetched || k.fetch == 0 {
+		if !q.overran {
+			k.slack = min(k.slack+slackUp, slackMost)
+		}
 		b.host.Answer(q, whole && (q.whole || !q.fetched))
 		q.finish()
 		return
@@ -439,12 +446,12 @@
 		b.worth = rate
 	}
 	b.worth += 0.01 * (rate - b.worth)
-	from := min(max(shedFrom+shedTilt*math.Log(rate/b.worth+1e-9), 0.1), shedFull-0.1)
+	from := k.slack * min(max(shedFrom+shedTilt*math.Log(rate/b.worth+1e-9), 0.1), shedFull-0.1)
 	used := (b.now - q.born + wait) / (q.aim - q.born)
 	// Spare parts pay while reply times are random; when all nodes are slow together
 	// they are real work, so then a search asks for what it needs and no more at first.
 	q.thrifty = used > thrift
-	return b.rand.next() < (used-from)/(shedFull-from)
+	return b.rand.next() < (used-from)/(k.slack*shedFull-from)
 }
 
 // heard takes in an answer.
@@ -600,6 +607,10 @@
 	}
 	for q := b.head; q != nil; {
 		next, k := q.next, &b.kinds[q.kind]
+		if b.now >= q.aim && !q.overran && q.flying > 0 {
+			q.overran = true
+			k.slack = max(k.slack-slackDown, slackLeast)
+		}
 		switch {
 		case b.now >= q.cutoff:
 			q.quit()
--- a/balance/state.go
+++ b/balance/state.go
@@ -14,6 +14,7 @@
 	fetch                    int
 	effect                   Effect
 	work                     float64 // of a part, as learned
+	slack                    float64 // scale of the range in which its searches are shed
 	seen                     bool
 }
 
@@ -92,7 +93,7 @@
 		}
 		b.kinds = append(b.kinds, kind{aim: k.Target, window: k.Window, value: k.Value, late: k.LateValue,
 			need: k.Need, least: k.Least, partial: k.Partial, fetch: k.Fetch, effect: k.Effect,
-			work: unseen * k.Target})
+			work: unseen * k.Target, slack: 1})
 	}
 	for _, s := range t.Quotas {
 		b.quotas = append(b.quotas, s/float64(t.Brokers))
@@ -142,6 +143,7 @@
 	got, lost         float64
 	waiting, flying   int // parts unsent; sub-requests out
 	begun, ended      bool
+	overran           bool // its target passed while parts were out
 	thrifty           bool // its spare parts wait until they are needed
 	fetched, whole    bool // the first step is answered; it was whole
 	prev, next        *Search
