--- a/balance/state.go
+++ b/balance/state.go
@@ -78,7 +78,7 @@
 	}
 	b := &Broker{host: h, reach: t.Reach, perCall: max(t.PerCall, 1), tries: t.Tries, cancels: t.MayCancel,
 		probes: t.MayProbe, advice: t.Advice, cold: t.Cold, coldFrom: t.ColdFrom, fall: t.Fall,
-		fallBy: t.FallMultiple * ease, extra: t.Extra, share: t.ExtraShare, over: t.Over, byWork: t.ByWork,
+		fallBy: t.FallMultiple, extra: t.Extra, share: t.ExtraShare, over: t.Over, byWork: t.ByWork,
 		beyond: t.OverShare, most: float64(t.MaxOpen), cap: float64(t.MaxOpen), asked: t.Asked,
 		holders: make([][]int, t.Shards), members: make([][]int, t.Cells), cutAt: math.Inf(-1)}
 	if t.Over <= 0 {
