The whole shedding range moves with value for work, not just its start

Cause: a dealer's traffic beyond its share, worth a tenth, was shed little more often than the rest under overload.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,6 +45,7 @@
 	narrow     = 0.6   // weight of the part that decides, against the median one: it may be one node's trouble
 	shedFull   = 0.8   // and at which all are
 	shedTilt   = 0.25  // how far the start moves for each e-fold of value
+	shedLeast  = 0.15  // but it stays above what a search uses on a calm day
 	slackUp    = 0.006 // a search answered in time widens its type's range of shedding by this share,
 	slackDown  = 0.06  // one that overran its target narrows it: about one in eleven may
 	slackMost  = 1.5
@@ -445,12 +446,13 @@
 		b.worth = rate
 	}
 	b.worth += 0.01 * (rate - b.worth)
-	from := k.slack * min(max(shedFrom+shedTilt*math.Log(rate/b.worth+1e-9), 0.1), shedFull-0.1)
+	shift := shedTilt * math.Log(rate/b.worth+1e-9)
+	from, full := k.slack*max(shedFrom+shift, shedLeast), k.slack*max(shedFull+shift, 2*shedLeast)
 	used := (b.now - q.born + wait) / (q.aim - q.born)
 	// Spare parts pay while reply times are random; when all nodes are slow together
 	// they are real work, so then a search asks for what it needs and no more at first.
 	q.thrifty = used > thrift
-	return b.rand.next() < (used-from)/(k.slack*shedFull-from)
+	return b.rand.next() < (used-from)/(full-from)
 }
 
 // heard takes in an answer.
