Repeats, known by their shorter time left, keep the target of their first try

Cause: under overload clients ask again, and their repeats were worked on as if new, though their target had passed or nearly so. Covers any storm of repeats; could hurt clients that choose shorter time-outs of their own, which count as having waited.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -65,6 +65,13 @@
 	q.aim = b.now + min(k.aim, left)
 	q.cutoff = b.now + left - b.guard
 	q.value = k.value
+	// A client that asks again has less time left than on a first try, which tells how long it
+	// has waited already. Guards against work for repeats that nobody can be served by in time.
+	if k.longest = max(k.longest, left); left < k.longest-b.period {
+		if q.aim = min(q.aim, b.now+left-k.grace); q.aim <= b.now {
+			q.aim, q.value = b.now+k.aim, q.value*k.late
+		}
+	}
 	if q.cutoff <= b.now+b.period {
 		b.sweepAt = b.now // so little time left cannot wait for the next sweep
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math"
 	"os"
 	"testing"
 
@@ -210,6 +211,18 @@
 	}
 }
 
+func TestRepeatKeepsItsFirstTarget(t *testing.T) {
+	terms, nodes := plainTerms()
+	w := newWorld(t, terms, nodes)
+	w.ask(0, 4, 0) // target 1 s, time-out 4 s
+	if q := w.ask(0, 3.4, 0).q; math.Abs(q.aim-w.now-0.4) > 1e-9 {
+		t.Fatalf("a client 0.6 s into its time has %.2f s to the target, want 0.4", q.aim-w.now)
+	}
+	if q := w.ask(0, 2.5, 0).q; q.value != 0 {
+		t.Fatal("a repeat past its target counts at full value")
+	}
+}
+
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	terms, nodes := plainTerms()
 	w := newWorld(t, terms, nodes)
--- a/balance/state.go
+++ b/balance/state.go
@@ -11,6 +11,8 @@
 type kind struct {
 	aim, window, value, late float64
 	need, least, partial     float64
+	grace                    float64 // from the target to the client's time-out
+	longest                  float64 // the most time that a search had left
 	fetch                    int
 	effect                   Effect
 	work                     float64 // of a part, as learned
@@ -92,7 +94,8 @@
 			return nil, errors.New("a query type's target, timeout or shares make no sense")
 		}
 		b.kinds = append(b.kinds, kind{aim: k.Target, window: k.Window, value: k.Value, late: k.LateValue,
-			need: k.Need, least: k.Least, partial: k.Partial, fetch: k.Fetch, effect: k.Effect,
+			grace: k.Timeout - k.Target,
+			need:  k.Need, least: k.Least, partial: k.Partial, fetch: k.Fetch, effect: k.Effect,
 			work: unseen * k.Target, slack: 1})
 	}
 	for _, s := range t.Quotas {
