Replies that lay waiting while the broker itself stalled teach nothing of times

Covers any stall of the process or its machine; could hurt if wake-ups were late all the time. Cost hints leave the interface, as no decision used them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -56,12 +56,21 @@
 )
 
 // Begin opens a turn.
-func (b *Broker) Begin(now float64) { b.now = now; b.turn++ }
+func (b *Broker) Begin(now float64) {
+	b.turn++
+	// Guards against taking a stall of this process, or of its machine, for slowness of every
+	// node: replies that lay waiting tell nothing of times.
+	b.away = 0
+	if b.now > 0 && now > b.wakeAt+b.period {
+		b.away = now - b.wakeAt
+	}
+	b.now = now
+}
 
-// Take takes a search; dealer below 0 is none, hint 0 is none.
-func (b *Broker) Take(kind, dealer int, left, hint float64) *Search {
+// Take takes a search whose client waits so long yet; dealer below 0 is none.
+func (b *Broker) Take(kind, dealer int, left float64) *Search {
 	q, k := b.take(), &b.kinds[kind]
-	q.kind, q.born, q.hint = kind, b.now, hint
+	q.kind, q.born = kind, b.now
 	q.aim = b.now + min(k.aim, left)
 	q.cutoff = b.now + left - b.guard
 	q.value = k.value
@@ -90,16 +99,13 @@
 }
 
 // Part adds a part to a search and gives its index, or -1 if the search has ended.
-func (q *Search) Part(shard int, weight, hint float64) int {
+func (q *Search) Part(shard int, weight float64) int {
 	q.b.taken.add(q.b.now, 1)
 	if q.ended || shard < 0 || shard >= len(q.b.holders) {
 		return -1
 	}
 	p := q.grow()
-	p.shard, p.weight, p.work = shard, weight, hint
-	if hint <= 0 {
-		p.work = q.b.kinds[q.kind].work
-	}
+	p.shard, p.weight = shard, weight
 	q.waiting++
 	return p.at
 }
@@ -127,21 +133,17 @@
 	case OK:
 		p.state = landed
 		b.heard(n, p, k, took)
-	case Full, Moot, Unreached:
-		if how == Unreached {
-			b.blame(n, loud, true)
-		}
-	case Errored:
-		b.blame(n, 1, false)
-	case Dropped:
+	case Unreached, Dropped:
 		b.blame(n, loud, true)
-	case TimedOut:
-		b.silent(n, p)
+	case Errored, TimedOut:
+		if !p.late {
+			b.blame(n, 1, false)
+		}
 	}
 	if how != OK && how != Full && how != Moot && how != Unreached && p.mayRun < 0 {
 		p.mayRun = p.sent
 	}
-	if how == Full || how == OK || p.late {
+	if b.away == 0 && (how == Full || how == OK || p.late) {
 		b.press(how == Full || b.now-p.sent > better*k.aim)
 	}
 	switch {
@@ -248,10 +250,10 @@
 			harmless = harmless && p.mayRun < 0 && p.state != out && p.state != landed
 		}
 	}
-	if harmless {
-		b.host.Shed(q, b.advice*(0.5+0.5*b.rand.next()))
-	} else {
+	if !harmless {
 		b.host.Error(q)
+	} else {
+		b.host.Shed(q, b.advice*(0.5+0.5*b.rand.next()))
 	}
 	q.finish()
 }
@@ -276,10 +278,7 @@
 		q = next
 	}
 	if b.wakeAt <= b.now+b.period/8 {
-		b.wakeAt = b.now + judging
-		if b.live > 0 {
-			b.wakeAt = b.now + b.period
-		}
+		b.wakeAt = b.now + b.period
 		b.host.Wake(b.wakeAt)
 	}
 }
@@ -464,16 +463,19 @@
 
 // heard takes in an answer.
 func (b *Broker) heard(n *node, p *part, k *kind, took float64) {
-	if !k.seen {
-		k.work, k.seen = took, true
-	} else if took < k.work {
-		k.work -= learnDown * k.work
-	} else {
-		k.work += learnUp * k.work
+	if b.away == 0 {
+		if !k.seen {
+			k.work, k.seen = took, true
+		} else if took < k.work {
+			k.work -= learnDown * k.work
+		} else {
+			k.work += learnUp * k.work
+		}
+		n.lat += 0.3 * (took - n.lat)
+		n.latAt = b.now
+		n.done.add(b.now, k.work)
 	}
-	n.lat += 0.3 * (took - n.lat)
-	n.latAt, n.overtaken = b.now, max(n.overtaken, p.sent)
-	n.done.add(b.now, k.work)
+	n.overtaken = max(n.overtaken, p.sent)
 	n.good++
 	if n.sick && took < overdue*k.aim {
 		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
@@ -495,15 +497,6 @@
 	}
 }
 
-// silent notes that a sub-request got no answer in good time.
-func (b *Broker) silent(n *node, p *part) {
-	if p.late {
-		return // already blamed when it became overdue
-	}
-	b.blame(n, 1, false)
-	n.lat, n.latAt = max(n.lat, b.now-p.sent), b.now
-}
-
 func (b *Broker) rest(n *node) {
 	n.trial = false
 	n.pause = min(max(2*n.pause, firstRest), lastRest)
@@ -598,8 +591,9 @@
 			younger, k := p.younger, &b.kinds[p.q.kind]
 			if age := b.now - p.sent; age > overdue*k.aim {
 				if !p.late {
-					b.silent(n, p)
 					p.late = true
+					b.blame(n, 1, false)
+					n.lat, n.latAt = max(n.lat, age), b.now
 				}
 				// Hung parts leave the cap, or the head search would hold its share of it for ever.
 				// Parts of a node that goes on answering are load like any other and stay.
@@ -617,7 +611,9 @@
 		next, k := q.next, &b.kinds[q.kind]
 		if b.now >= q.aim && !q.overran && q.flying > 0 {
 			q.overran = true
-			k.slack = max(k.slack-slackDown, slackLeast)
+			if b.away == 0 {
+				k.slack = max(k.slack-slackDown, slackLeast)
+			}
 		}
 		switch {
 		case b.now >= q.cutoff:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -223,6 +223,17 @@
 	}
 }
 
+func TestOwnStallIsNotSlownessOfNodes(t *testing.T) {
+	terms, nodes := plainTerms()
+	w := newWorld(t, terms, nodes)
+	a := w.ask(0, 4, 0, 1)
+	w.now += 0.9 // no turn, though wakes were asked for
+	w.reply(a, 0, OK)
+	if n := &w.b.nodes[a.parts[0].node]; w.b.lag(n) > 0 || w.b.lateness > 0 {
+		t.Fatal("a reply that lay waiting marks its node late")
+	}
+}
+
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	terms, nodes := plainTerms()
 	w := newWorld(t, terms, nodes)
@@ -231,9 +242,9 @@
 	search := func() {
 		w.now += 0.05
 		w.b.Begin(w.now)
-		q := w.b.Take(0, -1, 4, 0)
+		q := w.b.Take(0, -1, 4)
 		for s := range 4 {
-			q.Part(s, 0.25, 0)
+			q.Part(s, 0.25)
 		}
 		w.b.Close()
 		w.now += 0.05
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -125,7 +125,7 @@
 	a := &ask{kind: kind, deadline: w.now + left}
 	w.asks = append(w.asks, a)
 	w.turn(func() {
-		a.q = w.b.Take(kind, -1, left, 0)
+		a.q = w.b.Take(kind, -1, left)
 		w.taken = append(w.taken, w.now)
 		w.add(a, shards)
 	})
@@ -136,7 +136,7 @@
 	for _, s := range shards {
 		a.parts = append(a.parts, &piece{shard: s, weight: 1 / float64(len(shards)), mayRun: -1})
 		w.taken = append(w.taken, w.now)
-		a.q.Part(s, 1/float64(len(shards)), 0)
+		a.q.Part(s, 1/float64(len(shards)))
 	}
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -58,6 +58,7 @@
 	cutAt             float64
 	guard, period     float64
 	sweepAt, judgeAt  float64
+	away              float64 // how long this process was held up before this turn
 	wakeAt            float64
 	asked, watching   bool
 	watchAt, watchGap float64
@@ -121,7 +122,7 @@
 	q              *Search
 	at             int // index within the search
 	shard          int
-	weight, work   float64
+	weight         float64
 	state          partState
 	tries          int
 	mayRun         float64 // when the first sub-request that may have run was sent; below 0: none
@@ -139,7 +140,7 @@
 	place             int
 	kind              int
 	born, aim, cutoff float64
-	hint, value       float64
+	value             float64
 	offset            int
 	parts             []*part
 	first             int // where the current step's parts begin
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -283,15 +283,12 @@
 
 func (h *host) request(f *frame) {
 	id, lane, left := f.whole(1, "opId"), f.text(2, "kind"), f.num(5, "ttl")
-	query, shard, bits := f.whole(7, "query"), f.num(8, "segmentNo"), f.whole(10, "bits")
+	query, shard := f.whole(7, "query"), f.num(8, "segmentNo")
 	kind, ok := h.lanes[lane]
 	if !ok && f.err == nil {
 		f.err = fmt.Errorf("REQUEST: field kind: expected the name of a lane, got %q", lane)
 	}
-	hint, weight, dealer := 0.0, 0.0, -1
-	if !f.absent(6) && bits&1 != 0 {
-		hint = f.num(6, "sizeHint") * ms
-	}
+	weight, dealer := 0.0, -1
 	if !f.absent(3) {
 		if i, ok := h.tenants[f.text(3, "project")]; ok {
 			dealer = i
@@ -304,7 +301,7 @@
 		return
 	}
 	if shard < 0 {
-		q := h.broker.Take(kind, dealer, left*ms, hint)
+		q := h.broker.Take(kind, dealer, left*ms)
 		for len(h.places) <= q.Place() {
 			h.places = append(h.places, place{})
 		}
@@ -325,7 +322,7 @@
 	if q == nil {
 		return
 	}
-	if i := q.Part(int(shard), weight, hint); i >= 0 {
+	if i := q.Part(int(shard), weight); i >= 0 {
 		at := &h.places[q.Place()]
 		at.parts = append(at.parts, id)
 		h.held[id] = owner{q, i}
