--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,7 @@
 const (
 	overdue    = 0.3   // share of the latency target after which a node's silence sends a part elsewhere
 	better     = 0.5   // a part is resent where the other holder lags by less than this share of its wait
-	memory     = 1.0   // seconds in which what a node's lateness counts for halves
+	memory     = 3.0   // seconds in which what a node's lateness counts for halves
 	learnLag   = 0.3   // weight of the newest reply time in a node's lateness
 	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
 	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
