--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,8 +20,7 @@
 const (
 	overdue    = 0.3   // share of the latency target after which a node's silence sends a part elsewhere
 	better     = 0.5   // a part is resent where the other holder lags by less than this share of its wait
-	memory     = 3.0   // seconds in which what a node's lateness counts for halves
-	learnLag   = 0.3   // weight of the newest reply time in a node's lateness
+	memory     = 1.0   // seconds in which what a node's lateness counts for halves
 	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
 	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
 	judging    = 0.25  // seconds between judgements of the nodes
@@ -414,7 +413,7 @@
 // last replies took, which fades as it tells less and less. A sub-request overtaken by
 // a reply to a later one is left out: it may be a costly part on a node that is well.
 func (b *Broker) lag(n *node) float64 {
-	lag := b.faded(n)
+	lag := n.lat * math.Exp2((n.latAt-b.now)/memory)
 	for p := n.oldest; p != nil; p = p.younger {
 		if p.sent > n.overtaken {
 			return max(lag, b.now-p.sent)
@@ -423,8 +422,6 @@
 	return lag
 }
 
-func (b *Broker) faded(n *node) float64 { return n.lat * math.Exp2((n.latAt-b.now)/memory) }
-
 // unlucky sheds by chance under overload: the more of its target a search is expected to
 // use up, and the less value it brings for its work, the likelier.
 func (b *Broker) unlucky(q *Search, k *kind) bool {
@@ -474,7 +471,7 @@
 		} else {
 			k.work += learnUp * k.work
 		}
-		n.lat = b.faded(n) + learnLag*(took-b.faded(n))
+		n.lat += 0.3 * (took - n.lat)
 		n.latAt = b.now
 		n.done.add(b.now, k.work)
 	}
@@ -596,7 +593,7 @@
 				if !p.late {
 					p.late = true
 					b.blame(n, 1, false)
-					n.lat, n.latAt = max(b.faded(n), age), b.now
+					n.lat, n.latAt = max(n.lat, age), b.now
 				}
 				// Hung parts leave the cap, or the head search would hold its share of it for ever.
 				// Parts of a node that goes on answering are load like any other and stay.
