--- a/balance/balance.go
+++ b/balance/balance.go
@@ -414,7 +414,6 @@
 // a reply to a later one is left out: it may be a costly part on a node that is well.
 func (b *Broker) lag(n *node) float64 {
 	lag := n.lat * math.Exp2((n.latAt-b.now)/memory)
-	lag = max(lag, n.told*math.Exp2((n.toldAt-b.now)/memory))
 	for p := n.oldest; p != nil; p = p.younger {
 		if p.sent > n.overtaken {
 			return max(lag, b.now-p.sent)
@@ -489,14 +488,6 @@
 	n.heardAt = b.now
 }
 
-// Told takes in what a node reported of itself: parts waiting, and the parts a second and the
-// seconds a part that it served of late; below 0 is absent. It tells of other brokers' parts too.
-func (b *Broker) Told(at int, waiting, rate, took float64) {
-	if n := &b.nodes[at]; waiting >= 0 && took > 0 {
-		n.told, n.toldAt = waiting/max(rate, 1/took), b.now
-	}
-}
-
 // blame notes a failure of a node; one that speaks of the process may mean a restart.
 func (b *Broker) blame(n *node, weight float64, mute bool) {
 	n.bad += weight
--- a/balance/state.go
+++ b/balance/state.go
@@ -177,8 +177,6 @@
 	youngest   *part
 	lat, latAt float64 // recent reply time, and when it was noted
 	heardAt    float64 // the last answer
-	told       float64 // the wait that its last load report speaks of
-	toldAt     float64
 	overtaken  float64 // the latest send that has been answered
 	good, bad  float64
 	sick       bool
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -331,33 +331,17 @@
 
 func (h *host) outcome(f *frame) {
 	id, try, code := f.whole(1, "opId"), f.whole(2, "roundNo"), f.whole(4, "stateCode")
-	addr := f.text(3, "node")
+	f.text(3, "node")
 	took := f.num(5, "costTime") * ms
 	how, ok := outcomes[code]
 	if !ok && f.err == nil {
 		f.err = fmt.Errorf("REPLY: field stateCode: expected a completion code, got %d", code)
 	}
-	h.load(f, 7, addr)
 	if o, held := h.held[id]; held && f.err == nil && o.part >= 0 && int(try) == o.q.Tries(o.part)-1 {
 		o.q.Reply(o.part, how, took)
 	}
 }
 
-// load hands on a load report, if one came along; values that are not used are skipped.
-func (h *host) load(f *frame, i int, addr string) {
-	if f.absent(i) {
-		return
-	}
-	report := map[string]float64{}
-	f.read(i, "report", "an object of numbers", &report)
-	at, known := h.nodes[addr]
-	waiting, ok := report["q"]
-	if f.err != nil || !known || !ok {
-		return
-	}
-	h.broker.Told(at, waiting, report["rate"], report["lat_ms"]*ms)
-}
-
 func (h *host) gone(f *frame) {
 	if o, held := h.held[f.whole(1, "opId")]; held && f.err == nil && o.part < 0 {
 		o.q.Gone()
@@ -366,7 +350,6 @@
 
 func (h *host) probed(f *frame) {
 	code, addr := f.whole(1, "stateCode"), f.text(3, "node")
-	h.load(f, 4, addr)
 	if at, known := h.nodes[addr]; known && f.err == nil {
 		h.broker.Probed(at, code == 200)
 	}
