--- a/balance/balance.go
+++ b/balance/balance.go
@@ -556,7 +556,7 @@
 	if active == 0 {
 		return
 	}
-	b.least = float64(active) / 2
+	b.least = float64(active)
 	if warm > 0 && 3*warm >= active {
 		b.bear += 0.1 * (peak*rise + (1-peak)*sink) / float64(warm)
 	}
