--- a/balance/balance.go
+++ b/balance/balance.go
@@ -209,7 +209,7 @@
 	b, k := q.b, &q.b.kinds[q.kind]
 	if q.fetched || k.fetch == 0 {
 		if !q.overran {
-			k.slack = min(k.slack+slackUp, slackMost)
+			b.slack = min(b.slack+slackUp, slackMost)
 		}
 		b.host.Answer(q, whole && (q.whole || !q.fetched))
 		q.finish()
@@ -453,8 +453,10 @@
 	}
 	b.worth += 0.01 * (rate - b.worth)
 	shift := shedTilt * math.Log(rate/b.worth+1e-9)
-	from, full := k.slack*max(shedFrom+shift, shedLeast), k.slack*max(shedFull+shift, 2*shedLeast)
-	used := (b.now - q.born + wait) / (q.aim - q.born)
+	from, full := b.slack*max(shedFrom+shift, shedLeast), b.slack*max(shedFull+shift, 2*shedLeast)
+	// The shortest target measures the strain for all: else the types with long ones would take
+	// the room, and those with short ones be shed.
+	used := (b.now - q.born + wait) / min(q.aim-q.born, b.tight)
 	// Spare parts pay while reply times are random; when all nodes are slow together
 	// they are real work, so then a search asks for what it needs and no more at first.
 	q.thrifty = used > thrift
@@ -612,7 +614,7 @@
 		if b.now >= q.aim && !q.overran && q.flying > 0 {
 			q.overran = true
 			if b.away == 0 {
-				k.slack = max(k.slack-slackDown, slackLeast)
+				b.slack = max(b.slack-slackDown, slackLeast)
 			}
 		}
 		switch {
--- a/balance/state.go
+++ b/balance/state.go
@@ -16,7 +16,6 @@
 	fetch                    int
 	effect                   Effect
 	work                     float64 // of a part, as learned
-	slack                    float64 // scale of the range in which its searches are shed
 	seen                     bool
 }
 
@@ -56,6 +55,8 @@
 	cap, most, least  float64
 	lateness          float64 // running share of parts that came back late or were turned away
 	cutAt             float64
+	slack             float64 // scale of the range in which searches are shed
+	tight             float64 // the shortest target
 	guard, period     float64
 	sweepAt, judgeAt  float64
 	away              float64 // how long this process was held up before this turn
@@ -83,7 +84,7 @@
 		probes: t.MayProbe, advice: t.Advice, cold: t.Cold, coldFrom: t.ColdFrom, fall: t.Fall,
 		fallBy: t.FallMultiple, extra: t.Extra, share: t.ExtraShare, over: t.Over, byWork: t.ByWork,
 		beyond: t.OverShare, most: float64(t.MaxOpen), cap: float64(t.MaxOpen), asked: t.Asked,
-		holders: make([][]int, t.Shards), members: make([][]int, t.Cells), cutAt: math.Inf(-1)}
+		holders: make([][]int, t.Shards), members: make([][]int, t.Cells), cutAt: math.Inf(-1), slack: 1, tight: math.Inf(1)}
 	if t.Over <= 0 {
 		b.extra, b.share, b.over = ownFew, own, ownOver
 	}
@@ -97,7 +98,8 @@
 		b.kinds = append(b.kinds, kind{aim: k.Target, window: k.Window, value: k.Value, late: k.LateValue,
 			grace: k.Timeout - k.Target,
 			need:  k.Need, least: k.Least, partial: k.Partial, fetch: k.Fetch, effect: k.Effect,
-			work: unseen * k.Target, slack: 1})
+			work: unseen * k.Target})
+		b.tight = min(b.tight, k.Target)
 	}
 	for _, s := range t.Quotas {
 		b.quotas = append(b.quotas, s/float64(t.Brokers))
