--- a/balance/balance.go
+++ b/balance/balance.go
@@ -441,9 +441,6 @@
 	slices.Sort(b.scratch)
 	last := max(int(math.Ceil(k.need*float64(len(b.scratch))-short))-1, 0)
 	wait := max(b.scratch[len(b.scratch)/2], narrow*b.scratch[last])
-	if k.fetch > 0 {
-		wait *= 2
-	}
 	rate := q.value
 	if !b.byWork {
 		rate /= work
@@ -456,7 +453,11 @@
 	from, full := b.slack*max(shedFrom+shift, shedLeast), b.slack*max(shedFull+shift, 2*shedLeast)
 	// The shortest target measures the strain for all: else the types with long ones would take
 	// the room, and those with short ones be shed.
-	used := (b.now - q.born + wait) / min(q.aim-q.born, b.tight)
+	used := (b.now - q.born + wait) / b.tight
+	if k.fetch > 0 {
+		wait *= 2
+	}
+	used = max(used, (b.now-q.born+wait)/(q.aim-q.born))
 	// Spare parts pay while reply times are random; when all nodes are slow together
 	// they are real work, so then a search asks for what it needs and no more at first.
 	q.thrifty = used > thrift
