--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	leave      = 0.15  // share of the latency target by which a node may lag before a part leaves the offset for it
+	leave      = 0.45  // share of the latency target by which a node may lag before a part leaves the offset for it
 	overdue    = 0.3   // share of the latency target after which a node's silence sends a part elsewhere
 	better     = 0.5   // a part is resent where the other holder lags by less than this share of its wait
 	memory     = 1.0   // seconds in which what a node's lateness counts for halves
