--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	leave      = 0.45  // share of the latency target by which a node may lag before a part leaves the offset for it
 	overdue    = 0.3   // share of the latency target after which a node's silence sends a part elsewhere
 	better     = 0.5   // a part is resent where the other holder lags by less than this share of its wait
 	memory     = 1.0   // seconds in which what a node's lateness counts for halves
@@ -369,7 +368,7 @@
 // pick chooses the node for a part: the holder at the search's offset unless that is
 // shut or overdue, else the least overdue and least laden of the others.
 func (b *Broker) pick(q *Search, p *part) int {
-	hs, limit := b.holders[p.shard], leave*b.kinds[q.kind].aim
+	hs, limit := b.holders[p.shard], overdue*b.kinds[q.kind].aim
 	best, bestLag, bestOut := -1, 0.0, 0
 	for pass := range 2 {
 		for j := range hs {
