--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,7 +47,7 @@
 	shedTilt   = 0.25  // how far the start moves for each e-fold of value
 	shedLeast  = 0.15  // but it stays above what a search uses on a calm day
 	slackUp    = 0.006 // a search answered in time widens its type's range of shedding by this share,
-	slackDown  = 0.12  // one that overran its target narrows it: about one in twenty may
+	slackDown  = 0.06  // one that overran its target narrows it: about one in eleven may
 	slackMost  = 1.5
 	slackLeast = 0.3
 	unseen     = 0.08 // share of the target that a part's work is taken for until it is known
