The guess of a cold node's capacity does not sink while a node is cold or sick

Cause: keeping work from cold nodes sheds load, the guess followed that load down, and the guard kept still more.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -560,6 +560,9 @@
 		return
 	}
 	b.least = float64(active)
+	if warm < active {
+		sink = 0 // what is kept from cold nodes must not make them seem able to bear less and less
+	}
 	if warm > 0 && 3*warm >= active {
 		b.bear += 0.1 * (peak*rise + (1-peak)*sink) / float64(warm)
 	}
