At most a quarter of the nodes may be left out for their record

Kept as a limit to a known spiral; it could hurt when more than a quarter of the fleet is slow but reachable.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,6 +23,7 @@
 	memory     = 1.0   // seconds in which what a node's lateness counts for halves
 	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
 	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
+	mostSick   = 4     // one node in so many may be left out for its record, beside those that are unreachable
 	judging    = 0.25  // seconds between judgements of the nodes
 	fading     = 0.91  // what a node's record keeps from one judgement to the next: halves in 2 s
 	absence    = 2.0   // seconds of silence in which a node may have restarted unlisted
@@ -537,7 +538,7 @@
 func (b *Broker) judge() {
 	b.judgeAt = b.now + judging
 	b.scratch = b.scratch[:0]
-	rise, sink, warm, active := 0.0, 0.0, 0, 0
+	rise, sink, warm, active, sick := 0.0, 0.0, 0, 0, 0
 	for i := range b.nodes {
 		n := &b.nodes[i]
 		if n.standing != Active {
@@ -547,7 +548,9 @@
 		n.good *= fading
 		n.bad *= fading
 		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+1))
-		if !n.sick && (n.started < 0 || b.now-n.started >= b.cold) {
+		if n.sick {
+			sick++
+		} else if n.started < 0 || b.now-n.started >= b.cold {
 			warm++
 			if x := n.done.since(b.now-b.fall) - b.bear; x > 0 {
 				rise += x
@@ -573,8 +576,10 @@
 		if n.standing != Active {
 			continue
 		}
-		if !n.sick && n.bad/(n.good+n.bad+1) > median+margin {
+		// Guards against leaving out so many that the rest is overloaded and looks sick in turn.
+		if !n.sick && n.bad/(n.good+n.bad+1) > median+margin && (n.mute || sick*mostSick < active) {
 			n.sick = true
+			sick++
 			b.rest(n)
 		}
 		if n.sick && !n.trial && !n.probing && b.now >= n.retryAt {
