--- a/balance/balance.go
+++ b/balance/balance.go
@@ -484,12 +484,12 @@
 	if n.sick && took < overdue*k.aim {
 		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
 		// Guards against a node that fell silent and came back cold before the list tells.
-		if (n.mute || b.now-n.heardAt > absence) && b.cold > 0 {
+		if (n.mute || n.quietTo-n.quietFrom > absence) && b.cold > 0 {
 			n.started = b.now
 		}
 		n.mute = false
 	}
-	n.heardAt = b.now
+	n.heardAt, n.quietFrom = b.now, 0
 }
 
 // blame notes a failure of a node; one that speaks of the process may mean a restart.
@@ -514,10 +514,21 @@
 	if n.sick && ok {
 		n.trial = true
 	} else if n.sick {
+		b.quiet(n, b.now)
 		b.rest(n)
 	}
 }
 
+// quiet notes a silence of a node that may end with a restart the list has not told of. It
+// counts from the first thing unanswered to the last, so that a node left alone is not taken
+// for one that fell silent.
+func (b *Broker) quiet(n *node, from float64) {
+	if n.quietFrom == 0 {
+		n.quietFrom = from
+	}
+	n.quietTo = b.now
+}
+
 // press lowers the cap when too many parts come back full or late, and raises it again.
 func (b *Broker) press(bad bool) {
 	x := 0.0
@@ -604,6 +615,9 @@
 				if !p.late {
 					p.late = true
 					b.blame(n, 1, false)
+					if n.heardAt < p.sent {
+						b.quiet(n, p.sent)
+					}
 					n.lat, n.latAt = max(n.lat, age), b.now
 				}
 				// Hung parts leave the cap, or the head search would hold its share of it for ever.
