--- a/balance/balance.go
+++ b/balance/balance.go
@@ -484,8 +484,10 @@
 	if n.sick && took < overdue*k.aim {
 		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
 		// Guards against a node that fell silent and came back cold before the list tells.
-		if (n.mute || n.quietTo-n.quietFrom > absence) && b.cold > 0 {
+		if n.mute || n.quietTo-n.quietFrom > absence {
 			n.started = b.now
+		} else if b.now-n.heardAt > absence {
+			n.started = max(n.started, b.now-b.cold/2) // well or not, it is not thrown into full load
 		}
 		n.mute = false
 	}
