--- a/balance/balance.go
+++ b/balance/balance.go
@@ -484,14 +484,12 @@
 	if n.sick && took < overdue*k.aim {
 		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
 		// Guards against a node that fell silent and came back cold before the list tells.
-		if n.mute || n.quietTo-n.quietFrom > absence {
+		if (n.mute || b.now-n.heardAt > absence) && b.cold > 0 {
 			n.started = b.now
-		} else if b.now-n.heardAt > absence {
-			n.started = max(n.started, b.now-b.cold/2) // well or not, it is not thrown into full load
 		}
 		n.mute = false
 	}
-	n.heardAt, n.quietFrom = b.now, 0
+	n.heardAt = b.now
 }
 
 // blame notes a failure of a node; one that speaks of the process may mean a restart.
@@ -516,21 +514,10 @@
 	if n.sick && ok {
 		n.trial = true
 	} else if n.sick {
-		b.quiet(n, b.now)
 		b.rest(n)
 	}
 }
 
-// quiet notes a silence of a node that may end with a restart the list has not told of. It
-// counts from the first thing unanswered to the last, so that a node left alone is not taken
-// for one that fell silent.
-func (b *Broker) quiet(n *node, from float64) {
-	if n.quietFrom == 0 {
-		n.quietFrom = from
-	}
-	n.quietTo = b.now
-}
-
 // press lowers the cap when too many parts come back full or late, and raises it again.
 func (b *Broker) press(bad bool) {
 	x := 0.0
@@ -617,9 +604,6 @@
 				if !p.late {
 					p.late = true
 					b.blame(n, 1, false)
-					if n.heardAt < p.sent {
-						b.quiet(n, p.sent)
-					}
 					n.lat, n.latAt = max(n.lat, age), b.now
 				}
 				// Hung parts leave the cap, or the head search would hold its share of it for ever.
--- a/balance/state.go
+++ b/balance/state.go
@@ -179,8 +179,6 @@
 	youngest   *part
 	lat, latAt float64 // recent reply time, and when it was noted
 	heardAt    float64 // the last answer
-	quietFrom  float64 // since when it leaves things unanswered; 0: not
-	quietTo    float64 // the last time that was seen
 	overtaken  float64 // the latest send that has been answered
 	good, bad  float64
 	sick       bool
