Restarts are presumed only while fewer than half of the nodes are cold

Covers any trouble that leaves many nodes unheard; could hurt when half of the fleet really restarts unlisted, where broken connections still tell.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -484,8 +484,10 @@
 	if n.sick && took < overdue*k.aim {
 		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
 		// Guards against a node that fell silent and came back cold before the list tells.
-		if (n.mute || b.now-n.heardAt > absence) && b.cold > 0 {
+		// Where many are cold already, what is kept from them would overload the rest.
+		if n.mute || b.now-n.heardAt > absence && float64(2*b.colds) < b.least {
 			n.started = b.now
+			b.colds++
 		}
 		n.mute = false
 	}
@@ -537,7 +539,7 @@
 // what a warm node bears.
 func (b *Broker) judge() {
 	b.judgeAt = b.now + judging
-	b.scratch = b.scratch[:0]
+	b.scratch, b.colds = b.scratch[:0], 0
 	rise, sink, warm, active, sick := 0.0, 0.0, 0, 0, 0
 	for i := range b.nodes {
 		n := &b.nodes[i]
@@ -548,6 +550,9 @@
 		n.good *= fading
 		n.bad *= fading
 		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+1))
+		if n.started >= 0 && b.now-n.started < b.cold {
+			b.colds++
+		}
 		if n.sick {
 			sick++
 		} else if n.started < 0 || b.now-n.started >= b.cold {
--- a/balance/state.go
+++ b/balance/state.go
@@ -59,6 +59,7 @@
 	tight             float64 // the shortest target
 	guard, period     float64
 	sweepAt, judgeAt  float64
+	colds             int     // active nodes that are cold
 	away              float64 // how long this process was held up before this turn
 	wakeAt            float64
 	asked, watching   bool
