--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,7 +21,10 @@
 	overdue    = 0.3   // share of the latency target after which a node's silence sends a part elsewhere
 	better     = 0.5   // a part is resent where the other holder lags by less than this share of its wait
 	memory     = 1.0   // seconds in which what a node's lateness counts for halves
+	dull       = 1.0   // seconds that a failure counts for at least in a node's lateness
 	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
+	learnBear  = 0.1   // weight of the newest judgement in that guess
+	learnLag   = 0.3   // weight of the newest reply in a node's lateness
 	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
 	mostSick   = 4     // one node in so many may be left out for its record, beside those that are unreachable
 	judging    = 0.25  // seconds between judgements of the nodes
@@ -40,14 +43,15 @@
 	lateLot    = 0.25  // share of late or refused parts that lowers the cap
 	capCut     = 0.85  // by this factor
 	capRest    = 0.25  // at most once in so many seconds
-	capGain    = 0.5   // and what each part in time adds again
+	capGain    = 0.5   // and by how much a cap's worth of parts in time raises it again
+	lateNew    = 0.1   // weight of the newest part in that share
 	shedFrom   = 0.35  // expected share of the target used at which average searches begin to be shed
 	thrift     = 0.25  // expected share of the target used from which spare parts wait
 	narrow     = 0.6   // weight of the part that decides, against the median one: it may be one node's trouble
 	shedFull   = 0.8   // and at which all are
 	shedTilt   = 0.25  // how far the start moves for each e-fold of value
 	shedLeast  = 0.15  // but it stays above what a search uses on a calm day
-	slackUp    = 0.006 // a search answered in time widens its type's range of shedding by this share,
+	slackUp    = 0.006 // a search answered in time widens the range of shedding by this share,
 	slackDown  = 0.06  // one that overran its target narrows it: about one in eleven may
 	slackMost  = 1.5
 	slackLeast = 0.3
@@ -61,8 +65,7 @@
 	b.turn++
 	// Guards against taking a stall of this process, or of its machine, for slowness of every
 	// node: replies that lay waiting tell nothing of times.
-	b.away = 0
-	if b.now > 0 && now > b.wakeAt+b.period {
+	if b.away = 0; b.now > 0 && now > b.wakeAt+b.period {
 		b.away = now - b.wakeAt
 	}
 	b.now = now
@@ -141,6 +144,9 @@
 			b.blame(n, 1, false)
 		}
 	}
+	if how == Errored || how == Unreached || how == Dropped {
+		n.lat, n.latAt = max(n.lat, dull), b.now // one that fails fast must not look fast and draw more
+	}
 	if how != OK && how != Full && how != Moot && how != Unreached && p.mayRun < 0 {
 		p.mayRun = p.sent
 	}
@@ -436,9 +442,6 @@
 		b.scratch = append(b.scratch, wait+k.work)
 		work += k.work
 	}
-	if len(q.parts) == 0 {
-		return false
-	}
 	slices.Sort(b.scratch)
 	last := max(int(math.Ceil(k.need*float64(len(b.scratch))-short))-1, 0)
 	wait := max(b.scratch[len(b.scratch)/2], narrow*b.scratch[last])
@@ -475,7 +478,7 @@
 		} else {
 			k.work += learnUp * k.work
 		}
-		n.lat += 0.3 * (took - n.lat)
+		n.lat += learnLag * (took - n.lat)
 		n.latAt = b.now
 		n.done.add(b.now, k.work)
 	}
@@ -513,23 +516,19 @@
 func (b *Broker) Probed(at int, ok bool) {
 	n := &b.nodes[at]
 	n.probing = false
-	if n.sick && ok {
-		n.trial = true
-	} else if n.sick {
+	if n.trial = n.sick && ok; n.sick && !ok {
 		b.rest(n)
 	}
 }
 
 // press lowers the cap when too many parts come back full or late, and raises it again.
 func (b *Broker) press(bad bool) {
-	x := 0.0
-	if bad {
-		x = 1
-	}
-	b.lateness += 0.1 * (x - b.lateness)
+	b.lateness *= 1 - lateNew
 	if !bad {
 		b.cap = min(b.cap+capGain/b.cap, b.most)
-	} else if b.lateness > lateLot && b.now >= b.cutAt+capRest {
+		return
+	}
+	if b.lateness += lateNew; b.lateness > lateLot && b.now >= b.cutAt+capRest {
 		b.cap = max(b.least, capCut*min(b.cap, float64(b.flying+1)))
 		b.cutAt = b.now
 	}
@@ -557,11 +556,8 @@
 			sick++
 		} else if n.started < 0 || b.now-n.started >= b.cold {
 			warm++
-			if x := n.done.since(b.now-b.fall) - b.bear; x > 0 {
-				rise += x
-			} else {
-				sink += x
-			}
+			x := n.done.since(b.now-b.fall) - b.bear
+			rise, sink = rise+max(x, 0), sink+min(x, 0)
 		}
 	}
 	if active == 0 {
@@ -572,7 +568,7 @@
 		sink = 0 // what is kept from cold nodes must not make them seem able to bear less and less
 	}
 	if warm > 0 && 3*warm >= active {
-		b.bear += 0.1 * (peak*rise + (1-peak)*sink) / float64(warm)
+		b.bear += learnBear * (peak*rise + (1-peak)*sink) / float64(warm)
 	}
 	slices.Sort(b.scratch)
 	median := b.scratch[len(b.scratch)/2]
@@ -588,11 +584,8 @@
 			b.rest(n)
 		}
 		if n.sick && !n.trial && !n.probing && b.now >= n.retryAt {
-			if b.probes {
-				n.probing = true
+			if n.probing, n.trial = b.probes, !b.probes; b.probes {
 				b.host.Probe(i)
-			} else {
-				n.trial = true
 			}
 		}
 	}
@@ -649,21 +642,14 @@
 // the search needs the part, and the other is so much less late that it is worth it.
 func (b *Broker) move(n *node, p *part, k *kind, age float64) {
 	q := p.q
-	if q.ended || p.at < q.first || p.dropped || !b.cancels || p.tries >= b.tries || !b.spare() {
-		return
-	}
-	if k.effect == NonIdempotent || k.effect == Tokened && b.now+age > p.sent+k.window {
-		return
-	}
-	if b.now >= q.aim && k.late == 0 {
+	if q.ended || p.at < q.first || p.dropped || !b.cancels || p.tries >= b.tries || !b.spare() ||
+		b.now >= q.aim && k.late == 0 || k.effect == NonIdempotent ||
+		k.effect == Tokened && b.now+age > p.sent+k.window {
 		return
 	}
 	// Guards against sending costly parts round and round: what later ones have overtaken,
 	// or what was late at two nodes, is slow by itself, unless the node is mute.
-	if !p.hung && (p.sent <= n.overtaken || p.tries > 1) {
-		return
-	}
-	if coming := q.coming(); q.waiting > 0 || coming >= q.need()-short {
+	if !p.hung && (p.sent <= n.overtaken || p.tries > 1) || q.waiting > 0 || q.coming() >= q.need()-short {
 		return
 	}
 	if at := b.pick(q, p); at < 0 || b.lag(&b.nodes[at]) > better*age {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -223,6 +223,25 @@
 	}
 }
 
+func TestNodeThatFailsFastDrawsNoMore(t *testing.T) {
+	terms, nodes := plainTerms()
+	w := newWorld(t, terms, nodes)
+	for range 20 {
+		a := w.ask(0, 4, 0)
+		for a.parts[0].out {
+			if a.parts[0].node == 0 {
+				w.reply(a, 0, Unreached)
+			} else {
+				w.pass(0.05)
+				w.reply(a, 0, OK)
+			}
+		}
+	}
+	if n := len(w.sent[0]); n > 3 {
+		t.Fatalf("a node that fails at once got %d of 20 parts", n)
+	}
+}
+
 func TestOwnStallIsNotSlownessOfNodes(t *testing.T) {
 	terms, nodes := plainTerms()
 	w := newWorld(t, terms, nodes)
