--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,7 +46,7 @@
 	capGain    = 0.5   // and by how much a cap's worth of parts in time raises it again
 	lateNew    = 0.1   // weight of the newest part in that share
 	shedFrom   = 0.35  // expected share of the target used at which average searches begin to be shed
-	thrift     = 0.25  // expected share of the target used from which spare parts wait
+	thrift     = 0.15  // expected share of the target used from which spare parts wait
 	narrow     = 0.6   // weight of the part that decides, against the median one: it may be one node's trouble
 	shedFull   = 0.8   // and at which all are
 	shedTilt   = 0.25  // how far the start moves for each e-fold of value
