The parts a node holds of this broker, at the learned pace, count as its lateness

Cause: a whole search takes one offset, so hot families pile parts on one node while its other holders idle, and reply times tell of it only seconds later.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -242,6 +242,22 @@
 	}
 }
 
+func TestHotNodeIsLeftForItsOtherHolder(t *testing.T) {
+	terms, nodes := plainTerms()
+	w := newWorld(t, terms, nodes)
+	w.b.pace = 0.1
+	for range 4 {
+		w.ask(0, 4, 0) // both holders of shard 0 hold two, and 0.3 s is the limit
+	}
+	q, n := w.b.take(), &w.b.nodes[0]
+	p := q.grow()
+	q.offset = 0
+	n.out += 2
+	if at := w.b.pick(q, p); at == 0 {
+		t.Fatal("a part goes to a holder that needs 0.4 s for what it holds")
+	}
+}
+
 func TestOwnStallIsNotSlownessOfNodes(t *testing.T) {
 	terms, nodes := plainTerms()
 	w := newWorld(t, terms, nodes)
--- a/balance/state.go
+++ b/balance/state.go
@@ -59,6 +59,7 @@
 	tight             float64 // the shortest target
 	guard, period     float64
 	sweepAt, judgeAt  float64
+	pace              float64 // seconds a part that a node holds for this broker
 	colds             int     // active nodes that are cold
 	away              float64 // how long this process was held up before this turn
 	wakeAt            float64
@@ -130,6 +131,7 @@
 	tries          int
 	mayRun         float64 // when the first sub-request that may have run was sent; below 0: none
 	node, call     int
+	rank           int // the parts at its node when it was sent, itself too
 	sent           float64
 	older, younger *part // the node's sub-requests that are awaited, by age
 	aged           bool  // in that list
@@ -346,6 +348,7 @@
 	p.node, p.call, p.sent, p.state, p.late, p.hung, p.dropped = at, n.call, b.now, out, false, false, false
 	p.tries++
 	n.out++
+	p.rank = n.out
 	n.enlist(p)
 	p.q.flying++
 	p.q.waiting--
