--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
 	learnBear  = 0.1   // weight of the newest judgement in that guess
 	learnLag   = 0.3   // weight of the newest reply in a node's lateness
-	learnPace  = 0.02  // weight of the newest reply in the seconds a part that a node holds
+	learnPace  = 0.1   // weight of the newest reply in the seconds a part that a node holds
 	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
 	mostSick   = 4     // one node in so many may be left out for its record, beside those that are unreachable
 	judging    = 0.25  // seconds between judgements of the nodes
@@ -421,7 +421,7 @@
 // this broker, and by what its last replies took, which fades as it tells less and less. A sub-request overtaken by
 // a reply to a later one is left out: it may be a costly part on a node that is well.
 func (b *Broker) lag(n *node) float64 {
-	lag := max(n.lat*math.Exp2((n.latAt-b.now)/memory), float64(n.out)*b.pace)
+	lag := max(n.lat*math.Exp2((n.latAt-b.now)/memory), float64(n.out)*n.pace)
 	for p := n.oldest; p != nil; p = p.younger {
 		if p.sent > n.overtaken {
 			return max(lag, b.now-p.sent)
@@ -482,9 +482,7 @@
 		n.lat += learnLag * (took - n.lat)
 		n.latAt = b.now
 		n.done.add(b.now, k.work)
-		if p.rank > 2 {
-			b.pace += learnPace * (took/float64(p.rank) - b.pace)
-		}
+		n.pace += learnPace * (took/float64(max(p.rank, 3)) - n.pace)
 	}
 	n.overtaken = max(n.overtaken, p.sent)
 	n.good++
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -245,7 +245,9 @@
 func TestHotNodeIsLeftForItsOtherHolder(t *testing.T) {
 	terms, nodes := plainTerms()
 	w := newWorld(t, terms, nodes)
-	w.b.pace = 0.1
+	for i := range w.b.nodes {
+		w.b.nodes[i].pace = 0.1
+	}
 	for range 4 {
 		w.ask(0, 4, 0) // both holders of shard 0 hold two, and 0.3 s is the limit
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -59,7 +59,6 @@
 	tight             float64 // the shortest target
 	guard, period     float64
 	sweepAt, judgeAt  float64
-	pace              float64 // seconds a part that a node holds for this broker
 	colds             int     // active nodes that are cold
 	away              float64 // how long this process was held up before this turn
 	wakeAt            float64
@@ -180,6 +179,7 @@
 	joined     int // parts in it
 	oldest     *part
 	youngest   *part
+	pace       float64 // seconds a part that it holds for this broker
 	lat, latAt float64 // recent reply time, and when it was noted
 	heardAt    float64 // the last answer
 	overtaken  float64 // the latest send that has been answered
