--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,8 @@
 	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
 	learnBear  = 0.1   // weight of the newest judgement in that guess
 	learnLag   = 0.3   // weight of the newest reply in a node's lateness
-	learnPace  = 0.1   // weight of the newest reply in the seconds a part that a node holds
+	learnPace  = 0.1   // weight of the newest reply in the seconds a part that a node holds,
+	learnFleet = 0.02  // and in the fleet's
 	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
 	mostSick   = 4     // one node in so many may be left out for its record, beside those that are unreachable
 	judging    = 0.25  // seconds between judgements of the nodes
@@ -58,7 +59,7 @@
 	slackLeast = 0.3
 	unseen     = 0.08 // share of the target that a part's work is taken for until it is known
 	learnUp    = 0.01 // the work of a part follows a low quantile of reply times, clear of waiting
-	learnDown  = 0.09 // by moving up and down at these rates
+	learnDown  = 0.1  // by moving up, and down, at these rates
 )
 
 // Begin opens a turn.
@@ -159,7 +160,6 @@
 		b.reuse(q)
 		return
 	case p.at < q.first:
-		p.state = spent
 		return
 	case p.state == landed:
 		q.got += p.weight
@@ -417,11 +417,11 @@
 	return true
 }
 
-// lag is how late a node is, by the sub-request it has owed longest, by the parts it holds of
-// this broker, and by what its last replies took, which fades as it tells less and less. A sub-request overtaken by
-// a reply to a later one is left out: it may be a costly part on a node that is well.
+// lag is how late a node is: by the sub-request owed longest, the parts it holds of this broker
+// and its last replies, which tell less and less. What a reply to a later sub-request overtook
+// is left out: it may be a costly part on a node that is well.
 func (b *Broker) lag(n *node) float64 {
-	lag := max(n.lat*math.Exp2((n.latAt-b.now)/memory), float64(n.out)*n.pace)
+	lag := max(n.lat*math.Exp2((n.latAt-b.now)/memory), float64(n.out)*max(n.pace, b.pace))
 	for p := n.oldest; p != nil; p = p.younger {
 		if p.sent > n.overtaken {
 			return max(lag, b.now-p.sent)
@@ -472,17 +472,17 @@
 // heard takes in an answer.
 func (b *Broker) heard(n *node, p *part, k *kind, took float64) {
 	if b.away == 0 {
-		if !k.seen {
-			k.work, k.seen = took, true
-		} else if took < k.work {
+		if k.work += learnUp * k.work; took < k.work {
 			k.work -= learnDown * k.work
-		} else {
-			k.work += learnUp * k.work
 		}
 		n.lat += learnLag * (took - n.lat)
 		n.latAt = b.now
 		n.done.add(b.now, k.work)
-		n.pace += learnPace * (took/float64(max(p.rank, 3)) - n.pace)
+		pace := took / float64(max(p.rank, 3))
+		n.pace += learnPace * (pace - n.pace)
+		if p.rank > 2 {
+			b.pace += learnFleet * (pace - b.pace)
+		}
 	}
 	n.overtaken = max(n.overtaken, p.sent)
 	n.good++
@@ -562,10 +562,10 @@
 			rise, sink = rise+max(x, 0), sink+min(x, 0)
 		}
 	}
+	b.least = float64(active)
 	if active == 0 {
 		return
 	}
-	b.least = float64(active)
 	if warm < active {
 		sink = 0 // what is kept from cold nodes must not make them seem able to bear less and less
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -16,7 +16,6 @@
 	fetch                    int
 	effect                   Effect
 	work                     float64 // of a part, as learned
-	seen                     bool
 }
 
 // Broker decides for one instance. It is not safe for concurrent use.
@@ -59,6 +58,7 @@
 	tight             float64 // the shortest target
 	guard, period     float64
 	sweepAt, judgeAt  float64
+	pace              float64 // the same of the whole fleet
 	colds             int     // active nodes that are cold
 	away              float64 // how long this process was held up before this turn
 	wakeAt            float64
@@ -85,7 +85,8 @@
 		probes: t.MayProbe, advice: t.Advice, cold: t.Cold, coldFrom: t.ColdFrom, fall: t.Fall,
 		fallBy: t.FallMultiple, extra: t.Extra, share: t.ExtraShare, over: t.Over, byWork: t.ByWork,
 		beyond: t.OverShare, most: float64(t.MaxOpen), cap: float64(t.MaxOpen), asked: t.Asked,
-		holders: make([][]int, t.Shards), members: make([][]int, t.Cells), cutAt: math.Inf(-1), slack: 1, tight: math.Inf(1)}
+		holders: make([][]int, t.Shards), members: make([][]int, t.Cells), cutAt: math.Inf(-1),
+		slack: 1, tight: math.Inf(1)}
 	if t.Over <= 0 {
 		b.extra, b.share, b.over = ownFew, own, ownOver
 	}
