--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,7 +28,6 @@
 	learnPace  = 0.1   // weight of the newest reply in the seconds a part that a node holds,
 	learnFleet = 0.02  // and in the fleet's
 	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
-	doubt      = 3.0   // outcomes that a record is filled up with, so that one failure of few is no judgement
 	mostSick   = 4     // one node in so many may be left out for its record, beside those that are unreachable
 	judging    = 0.25  // seconds between judgements of the nodes
 	fading     = 0.91  // what a node's record keeps from one judgement to the next: halves in 2 s
@@ -551,7 +550,7 @@
 		active++
 		n.good *= fading
 		n.bad *= fading
-		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+doubt))
+		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+1))
 		if n.started >= 0 && b.now-n.started < b.cold {
 			b.colds++
 		}
@@ -581,7 +580,7 @@
 			continue
 		}
 		// Guards against leaving out so many that the rest is overloaded and looks sick in turn.
-		if !n.sick && n.bad/(n.good+n.bad+doubt) > median+margin && (n.mute || sick*mostSick < active) {
+		if !n.sick && n.bad/(n.good+n.bad+1) > median+margin && (n.mute || sick*mostSick < active) {
 			n.sick = true
 			sick++
 			b.rest(n)
