--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,6 +20,7 @@
 const (
 	overdue    = 0.3   // share of the latency target after which a node's silence sends a part elsewhere
 	better     = 0.5   // a part is resent where the other holder lags by less than this share of its wait
+	far        = 1000  // calls that a holder in another zone counts for when a part has left its offset
 	memory     = 1.0   // seconds in which what a node's lateness counts for halves
 	dull       = 1.0   // seconds that a failure counts for at least in a node's lateness
 	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
@@ -389,8 +390,13 @@
 			if j == 0 && lag == 0 {
 				return h
 			}
-			if best < 0 || lag < bestLag || lag == bestLag && n.calls < bestOut {
-				best, bestLag, bestOut = h, lag, n.calls
+			// Guards against links between zones that fail: from there all holders look idle.
+			load := n.calls
+			if !n.near {
+				load += far
+			}
+			if best < 0 || lag < bestLag || lag == bestLag && load < bestOut {
+				best, bestLag, bestOut = h, lag, load
 			}
 		}
 		if best >= 0 {
