--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,6 @@
 const (
 	overdue    = 0.3   // share of the latency target after which a node's silence sends a part elsewhere
 	better     = 0.5   // a part is resent where the other holder lags by less than this share of its wait
-	far        = 2     // calls that a holder in another zone counts for when a part has left its offset
 	memory     = 1.0   // seconds in which what a node's lateness counts for halves
 	dull       = 1.0   // seconds that a failure counts for at least in a node's lateness
 	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
@@ -379,7 +378,7 @@
 func (b *Broker) pick(q *Search, p *part) int {
 	hs, limit := b.holders[p.shard], overdue*b.kinds[q.kind].aim
 	best, bestLag, bestOut := -1, 0.0, 0
-	for pass := range 2 {
+	for pass := 0; pass < 2 && best < 0; pass++ {
 		for j := range hs {
 			h := hs[(q.offset+j)%len(hs)]
 			n := &b.nodes[h]
@@ -390,18 +389,14 @@
 			if j == 0 && lag == 0 {
 				return h
 			}
-			// Guards against links between zones that fail: from there all holders look idle.
 			load := n.calls
 			if !n.near {
-				load += far
+				load += len(b.calls) + 1 // behind all near ones: where links between zones fail, far nodes look idle
 			}
 			if best < 0 || lag < bestLag || lag == bestLag && load < bestOut {
 				best, bestLag, bestOut = h, lag, load
 			}
 		}
-		if best >= 0 {
-			break
-		}
 	}
 	return best
 }
@@ -669,8 +664,7 @@
 	b.host.Cancel(q, p.at, p.tries-1)
 }
 
-// List takes in the node list: changes, or with all the whole of it, so that who is not
-// in it is gone.
+// List takes in changes of the node list, or with all the whole of it: who is not in it is gone.
 func (b *Broker) List(all bool, entries []Listed) {
 	if all {
 		for i := range b.nodes {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -260,6 +260,22 @@
 	}
 }
 
+func TestPartsLeaveForTheOwnZone(t *testing.T) {
+	terms, nodes := plainTerms()
+	nodes = append(nodes, Listed{Node: 4, Cell: 0, Near: true}) // beside 0 and 2, which are far
+	w := newWorld(t, terms, nodes)
+	for range 3 {
+		w.b.launch(w.b.take().grow(), 4) // the near one is busier
+	}
+	q := w.b.take()
+	p := q.grow()
+	p.node = 0
+	q.offset = 1 // where the part was, which is out of the question now
+	if at := w.b.pick(q, p); at != 4 {
+		t.Fatalf("the part goes to node %d, from which nothing may come either", at)
+	}
+}
+
 func TestOwnStallIsNotSlownessOfNodes(t *testing.T) {
 	terms, nodes := plainTerms()
 	w := newWorld(t, terms, nodes)
