--- a/balance/balance.go
+++ b/balance/balance.go
@@ -83,6 +83,7 @@
 	// A client that asks again has less time left than on a first try, which tells how long it
 	// has waited already. Guards against work for repeats that nobody can be served by in time.
 	if k.longest = max(k.longest, left); left < k.longest-b.period {
+		q.overran = true // with little time to its target it tells nothing of strain
 		if q.aim = min(q.aim, b.now+left-k.grace); q.aim <= b.now {
 			q.aim, q.value = b.now+k.aim, q.value*k.late
 		}
