Overruns count by the share of the target that the search had

Cause: in storms of repeats, searches with a fraction of their target left overran and narrowed the shedding range until first tries were shed on an idle fleet.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -83,7 +83,6 @@
 	// A client that asks again has less time left than on a first try, which tells how long it
 	// has waited already. Guards against work for repeats that nobody can be served by in time.
 	if k.longest = max(k.longest, left); left < k.longest-b.period {
-		q.overran = true // with little time to its target it tells nothing of strain
 		if q.aim = min(q.aim, b.now+left-k.grace); q.aim <= b.now {
 			q.aim, q.value = b.now+k.aim, q.value*k.late
 		}
@@ -218,7 +217,7 @@
 	b, k := q.b, &q.b.kinds[q.kind]
 	if q.fetched || k.fetch == 0 {
 		if !q.overran {
-			b.slack = min(b.slack+slackUp, slackMost)
+			b.slack = min(b.slack+slackUp*(q.aim-q.born)/k.aim, slackMost)
 		}
 		b.host.Answer(q, whole && (q.whole || !q.fetched))
 		q.finish()
@@ -625,7 +624,8 @@
 		if b.now >= q.aim && !q.overran && q.flying > 0 {
 			q.overran = true
 			if b.away == 0 {
-				b.slack = max(b.slack-slackDown, slackLeast)
+				// By the share of the target it had: repeats with little time left tell less of strain.
+				b.slack = max(b.slack-slackDown*(q.aim-q.born)/k.aim, slackLeast)
 			}
 		}
 		switch {
