--- a/balance/balance.go
+++ b/balance/balance.go
@@ -488,7 +488,7 @@
 	n.overtaken = max(n.overtaken, p.sent)
 	n.good++
 	if n.sick && took < overdue*k.aim {
-		n.sick, n.trial, n.bad = false, false, 0
+		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
 		// Guards against a node that fell silent and came back cold before the list tells.
 		// Where many are cold already, what is kept from them would overload the rest.
 		if n.mute || b.now-n.heardAt > absence && float64(2*b.colds) < b.least {
@@ -551,7 +551,6 @@
 		active++
 		n.good *= fading
 		n.bad *= fading
-		n.pause *= fading
 		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+1))
 		if n.started >= 0 && b.now-n.started < b.cold {
 			b.colds++
@@ -681,7 +680,8 @@
 		n := &b.nodes[e.Node]
 		if e.Started > 0 && e.Started > n.started {
 			if n.known || b.now-e.Started < b.cold {
-				n.started, n.mute, n.retryAt = e.Started, false, b.now // its record stays: it may start over and over
+				n.started = e.Started
+				n.sick, n.trial, n.mute, n.good, n.bad, n.lat = false, false, false, 0, 0, 0
 			}
 		}
 		n.known, n.cell, n.near, n.standing = true, e.Cell, e.Near, e.Standing
