--- a/balance/balance.go
+++ b/balance/balance.go
@@ -77,9 +77,7 @@
 func (b *Broker) Take(kind, dealer int, left float64) *Search {
 	q, k := b.take(), &b.kinds[kind]
 	q.kind, q.born = kind, b.now
-	q.aim = b.now + min(k.aim, left)
-	q.cutoff = b.now + left - b.guard
-	q.value = k.value
+	q.aim, q.cutoff, q.value = b.now+min(k.aim, left), b.now+left-b.guard, k.value
 	// A client that asks again has less time left than on a first try, which tells how long it
 	// has waited already. Guards against work for repeats that nobody can be served by in time.
 	if k.longest = max(k.longest, left); left < k.longest-b.period {
@@ -476,8 +474,7 @@
 		if k.work += learnUp * k.work; took < k.work {
 			k.work -= learnDown * k.work
 		}
-		n.lat += learnLag * (took - n.lat)
-		n.latAt = b.now
+		n.lat, n.latAt = n.lat+learnLag*(took-n.lat), b.now
 		n.done.add(b.now, k.work)
 		pace := took / float64(max(p.rank, 3))
 		n.pace += learnPace * (pace - n.pace)
@@ -528,7 +525,7 @@
 func (b *Broker) press(bad bool) {
 	b.lateness *= 1 - lateNew
 	if !bad {
-		b.cap = min(b.cap+capGain/b.cap, b.most)
+		b.cap += capGain / b.cap
 		return
 	}
 	if b.lateness += lateNew; b.lateness > lateLot && b.now >= b.cutAt+capRest {
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -68,7 +68,7 @@
 // plainTerms is one idempotent query type on four nodes in two cells of two.
 func plainTerms() (Terms, []Listed) {
 	t := Terms{Seed: 7, Brokers: 1, Tick: 0.005, Cells: 2, Reach: 1, Shards: 4, PerCall: 1, Tries: 3,
-		MaxOpen: 1000, MayCancel: true, MayProbe: true, Cold: 10, ColdFrom: 0.2, Fall: 1, FallMultiple: 2,
+		MayCancel: true, MayProbe: true, Cold: 10, ColdFrom: 0.2, Fall: 1, FallMultiple: 2,
 		Types: []QueryType{{Target: 1, Timeout: 4, Value: 1, Need: 1, Least: 1, Window: 1}}}
 	var nodes []Listed
 	for i := range 4 {
--- a/balance/host.go
+++ b/balance/host.go
@@ -70,7 +70,7 @@
 	ByWork               bool      // value counts in proportion to work
 	Cells, Reach, Shards int
 	PerCall              int
-	Tries, MaxOpen       int
+	Tries                int
 	MayCancel, MayProbe  bool
 	Advice               float64 // longest hold-off that clients are told, 0 for none
 	Asked                bool    // the node list comes only when asked for
--- a/balance/state.go
+++ b/balance/state.go
@@ -51,7 +51,7 @@
 	beyond            float64
 	worth             float64 // running mean of value for work
 	flying            int     // sub-requests out that are not overdue
-	cap, most, least  float64
+	cap, least        float64 // what flying may reach; what it may fall to
 	lateness          float64 // running share of parts that came back late or were turned away
 	cutAt             float64
 	slack             float64 // scale of the range in which searches are shed
@@ -76,15 +76,15 @@
 		return nil, errors.New("no query types")
 	case t.Cells < 1 || t.Shards < 1 || t.Reach < 1 || t.Reach > t.Cells:
 		return nil, errors.New("cells, reach and shards do not make a layout")
-	case t.Brokers < 1 || t.Tries < 1 || t.MaxOpen < 1:
-		return nil, errors.New("brokers, tries and searches held must be at least 1")
+	case t.Brokers < 1 || t.Tries < 1:
+		return nil, errors.New("brokers and tries must be at least 1")
 	case t.Cold > 0 && (t.ColdFrom <= 0 || t.ColdFrom > 1 || t.Fall <= 0 || t.FallMultiple <= 0):
 		return nil, errors.New("the figures for cold nodes do not fit together")
 	}
 	b := &Broker{host: h, reach: t.Reach, perCall: max(t.PerCall, 1), tries: t.Tries, cancels: t.MayCancel,
 		probes: t.MayProbe, advice: t.Advice, cold: t.Cold, coldFrom: t.ColdFrom, fall: t.Fall,
 		fallBy: t.FallMultiple, extra: t.Extra, share: t.ExtraShare, over: t.Over, byWork: t.ByWork,
-		beyond: t.OverShare, most: float64(t.MaxOpen), cap: float64(t.MaxOpen), asked: t.Asked,
+		beyond: t.OverShare, cap: math.Inf(1), asked: t.Asked,
 		holders: make([][]int, t.Shards), members: make([][]int, t.Cells), cutAt: math.Inf(-1),
 		slack: 1, tight: math.Inf(1)}
 	if t.Over <= 0 {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -8,7 +8,7 @@
 const config = `{"lanes":[{"name":"one","effect":"read_like","target":1000,"giveUp":4000,"worth":1}],` +
 	`"familyInfo":{"perCall":1,"places":1,"reach":1,"slices":2,"classNeed":[0.5],"minShare":[0.5],` +
 	`"incompleteWorth":[0.9],"fetchParts":[0]},"instances":1,"tick":5,"newKey":[1],` +
-	`"policyLimits":{"mostTries":2,"maxOpen":50,"mayCancel":true}}`
+	`"policyLimits":{"mostTries":2,"mayCancel":true}}`
 
 const start = `["MARK",1000]
 ["BOOT",3,77,` + config + `]
--- a/internal/simwire/terms.go
+++ b/internal/simwire/terms.go
@@ -24,7 +24,7 @@
 		FetchParts                           []int
 	}
 	PolicyLimits struct {
-		MostTries, MaxOpen              int
+		MostTries                       int
 		MayCancel, MayProbe, RetryAfter bool
 		MaxRetryAfter                   float64
 	}
@@ -51,7 +51,7 @@
 	}
 	t := balance.Terms{Seed: seed, Index: s.Index, Brokers: s.Instances, Tick: s.Tick * ms,
 		OverShare: s.OverShareWorth, ByWork: s.WorthBy == "work", Cells: f.Places, Reach: f.Reach, Shards: f.Slices,
-		PerCall: f.PerCall, Tries: l.MostTries, MaxOpen: l.MaxOpen, MayCancel: l.MayCancel, MayProbe: l.MayProbe,
+		PerCall: f.PerCall, Tries: l.MostTries, MayCancel: l.MayCancel, MayProbe: l.MayProbe,
 		Asked: s.Discovery == "on_request", Cold: r.Cold * ms, ColdFrom: r.ColdFrom, Fall: r.Fall * ms,
 		FallMultiple: r.FallMultiple, Extra: r.MinExtra, ExtraShare: r.FurtherRatio, Over: r.CountedOver * ms}
 	if l.RetryAfter {
