The shedding range returns to its middle with time

Cause: with few answers a second a narrow range took half a minute to widen, long after the strain was over.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,6 +55,7 @@
 	shedLeast  = 0.15  // but it stays above what a search uses on a calm day
 	slackUp    = 0.006 // a search answered in time widens the range of shedding by this share,
 	slackDown  = 0.06  // one that overran its target narrows it: about one in eleven may
+	slackBack  = 0.03  // and each judgement takes it back to the middle by this share of the way
 	slackMost  = 1.5
 	slackLeast = 0.3
 	unseen     = 0.08 // share of the target that a part's work is taken for until it is known
@@ -538,6 +539,7 @@
 // what a warm node bears.
 func (b *Broker) judge() {
 	b.judgeAt = b.now + judging
+	b.slack += slackBack * (1 - b.slack)
 	b.scratch, b.colds = b.scratch[:0], 0
 	rise, sink, warm, active, sick := 0.0, 0.0, 0, 0, 0
 	for i := range b.nodes {
