--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,6 +20,7 @@
 const (
 	overdue    = 0.3   // share of the latency target after which a node's silence sends a part elsewhere
 	better     = 0.5   // a part is resent where the other holder lags by less than this share of its wait
+	half       = 0.25  // a search with less than this in or in good time is slow by itself, not by its nodes
 	memory     = 1.0   // seconds in which what a node's lateness counts for halves
 	dull       = 1.0   // seconds that a failure counts for at least in a node's lateness
 	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
@@ -601,7 +602,8 @@
 		for p := n.oldest; p != nil; {
 			younger, k := p.younger, &b.kinds[p.q.kind]
 			if age := b.now - p.sent; age > overdue*k.aim {
-				if !p.late {
+				late := p.late
+				if !late {
 					p.late = true
 					b.blame(n, 1, false)
 					n.lat, n.latAt = max(n.lat, age), b.now
@@ -613,7 +615,9 @@
 					b.flying--
 					b.blame(n, loud, false)
 				}
-				b.move(n, p, k, age)
+				if late {
+					b.move(n, p, k, age) // a sweep later, when all parts sent with it are known to be late or not
+				}
 			}
 			p = younger
 		}
@@ -650,9 +654,12 @@
 		k.effect == Tokened && b.now+age > p.sent+k.window {
 		return
 	}
-	// Guards against sending costly parts round and round: what later ones have overtaken,
-	// or what was late at two nodes, is slow by itself, unless the node is mute.
-	if !p.hung && (p.sent <= n.overtaken || p.tries > 1) || q.waiting > 0 || q.coming() >= q.need()-short {
+	// Guards against sending costly parts round and round: what later ones have overtaken, what
+	// was late at two nodes, or is late like most of its search, is slow by itself, unless the
+	// node is mute.
+	coming := q.coming()
+	if !p.hung && (p.sent <= n.overtaken || p.tries > 1 || coming < half) ||
+		q.waiting > 0 || coming >= q.need()-short {
 		return
 	}
 	if at := b.pick(q, p); at < 0 || b.lag(&b.nodes[at]) > better*age {
