Parts of a search most of whose parts are late are not moved

Cause: a costly search, or a shared slowdown, is late at most of its nodes at once, and each part sent again is as much work once more. Covers costly searches of any kind and slowdowns of all nodes; could hurt where most holders of a search hang at once, for which mute nodes are exempt.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,9 +7,7 @@
 // and Unlisted as things happen; then Close, where sends are decided so that parts
 // for one node can share a call. The bookkeeping is in state.go.
 //
-// The mechanism is greedy coded reads (docs/design.md): all parts of the oldest
-// waiting search go first, under a cap on parts in flight; the n-th reply answers,
-// and the rest is cancelled.
+// The mechanism is greedy coded reads; docs/design.md tells it and every exception.
 package balance
 
 import (
@@ -18,50 +16,47 @@
 )
 
 const (
-	overdue    = 0.3   // share of the latency target after which a node's silence sends a part elsewhere
-	better     = 0.5   // a part is resent where the other holder lags by less than this share of its wait
-	half       = 0.25  // a search with less than this in or in good time is slow by itself, not by its nodes
+	overdue    = 0.3   // share of the latency target after which silence sends a part elsewhere
+	better     = 0.5   // where the other holder lags by less than this share of the wait
 	memory     = 1.0   // seconds in which what a node's lateness counts for halves
 	dull       = 1.0   // seconds that a failure counts for at least in a node's lateness
-	peak       = 0.85  // where in the spread of warm nodes' loads the capacity of a cold one is put
-	learnBear  = 0.1   // weight of the newest judgement in that guess
-	learnLag   = 0.3   // weight of the newest reply in a node's lateness
-	learnPace  = 0.1   // weight of the newest reply in the seconds a part that a node holds,
+	learnLag   = 0.3   // weight of the newest reply in a node's lateness,
+	learnPace  = 0.1   // in the seconds a part that a node holds,
 	learnFleet = 0.02  // and in the fleet's
+	peak       = 0.85  // where among warm nodes' loads the capacity of a cold one is put
+	learnBear  = 0.1   // weight of the newest judgement in that guess
 	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
-	mostSick   = 4     // one node in so many may be left out for its record, beside those that are unreachable
+	mostSick   = 4     // one node in so many may be left out for its record
 	judging    = 0.25  // seconds between judgements of the nodes
-	fading     = 0.91  // what a node's record keeps from one judgement to the next: halves in 2 s
+	fading     = 0.91  // what a node's record keeps from one to the next: halves in 2 s
 	absence    = 2.0   // seconds of silence in which a node may have restarted unlisted
 	loud       = 3.0   // weight of a failure that speaks of the whole node, not of one part
-	firstRest  = 0.5   // seconds before a sick node is asked again; doubles with each try
+	firstRest  = 0.5   // seconds before a sick node is asked again, doubling
 	lastRest   = 4.0   // up to this
 	short      = 5e-5  // what sums of weights may fall short of by rounding
-	own        = 0.2   // further sub-requests per search and part taken, where no budget is stated
+	own        = 0.2   // further sub-requests per search and part where no budget is stated,
 	ownFew     = 10.0  // plus so many,
 	ownOver    = 10.0  // over so many seconds
 	saved      = 2.0   // seconds of its share that a dealer can save up
 	sweepTicks = 4     // ticks from one sweep to the next
-	guardTicks = 3     // ticks beyond that by which a final answer comes before the client's time is up
-	lateLot    = 0.25  // share of late or refused parts that lowers the cap
-	capCut     = 0.85  // by this factor
+	guardTicks = 3     // and beyond that, from a final answer to the end of the client's time
+	lateLot    = 0.25  // share of late or refused parts that lowers the cap,
+	lateNew    = 0.1   // with this weight of the newest,
+	capCut     = 0.85  // by this factor,
 	capRest    = 0.25  // at most once in so many seconds
-	capGain    = 0.5   // and by how much a cap's worth of parts in time raises it again
-	lateNew    = 0.1   // weight of the newest part in that share
-	shedFrom   = 0.35  // expected share of the target used at which average searches begin to be shed
+	capGain    = 0.5   // by how much a cap's worth of parts in time raises it again
 	thrift     = 0.15  // expected share of the target used from which spare parts wait
-	narrow     = 0.6   // weight of the part that decides, against the median one: it may be one node's trouble
-	shedFull   = 0.8   // and at which all are
-	shedTilt   = 0.25  // how far the start moves for each e-fold of value
-	shedLeast  = 0.15  // but it stays above what a search uses on a calm day
-	slackUp    = 0.006 // a search answered in time widens the range of shedding by this share,
-	slackDown  = 0.06  // one that overran its target narrows it: about one in eleven may
-	slackBack  = 0.03  // and each judgement takes it back to the middle by this share of the way
-	slackMost  = 1.5
-	slackLeast = 0.3
-	unseen     = 0.08 // share of the target that a part's work is taken for until it is known
-	learnUp    = 0.01 // the work of a part follows a low quantile of reply times, clear of waiting
-	learnDown  = 0.1  // by moving up, and down, at these rates
+	shedFrom   = 0.35  // and at which average searches begin to be shed,
+	shedFull   = 0.8   // and all are;
+	shedTilt   = 0.25  // how far that moves for each e-fold of value for work,
+	shedLeast  = 0.15  // but not below what a search uses on a calm day
+	narrow     = 0.6   // weight of the part that decides, which may be one node's trouble
+	slackUp    = 0.006 // an answer in time widens the range of shedding,
+	slackDown  = 0.06  // an overrun narrows it,
+	slackBack  = 0.03  // and each judgement takes it back to the middle by this share
+	unseen     = 0.08  // share of the target that a part's work is taken for at first; then it
+	learnUp    = 0.01  // follows a low quantile of reply times, clear of waiting,
+	learnDown  = 0.1   // by moving up, and down, at these rates
 )
 
 // Begin opens a turn.
@@ -93,10 +88,8 @@
 	if dealer >= 0 && dealer < len(b.quotas) {
 		quota := b.quotas[dealer]
 		left := min(b.tokens[dealer]+quota*(b.now-b.tokensAt[dealer]), saved*quota)
-		if left < 1 {
-			q.value *= b.beyond
-		} else {
-			left--
+		if left--; left < 0 {
+			left, q.value = left+1, q.value*b.beyond
 		}
 		b.tokens[dealer], b.tokensAt[dealer] = left, b.now
 	}
@@ -203,10 +196,21 @@
 	return w
 }
 
+// costly: have most of the parts sent been out for so long? Then the search is slow by itself.
+func (q *Search) costly(age float64) bool {
+	sent, slow := 0, 0
+	for _, p := range q.parts[q.first:] {
+		sent += min(p.tries, 1)
+		if p.state == out && q.b.now-p.sent >= age {
+			slow++
+		}
+	}
+	return sent > 1 && 2*slow > sent
+}
+
 // settle answers a search that has what it needs and ends one that cannot get it.
 func (q *Search) settle() {
-	need := q.need()
-	if q.got >= need-short && len(q.parts) > q.first {
+	if need := q.need(); q.got >= need-short && len(q.parts) > q.first {
 		q.answer(true)
 	} else if 1-q.lost < need-short {
 		q.quit()
@@ -217,7 +221,7 @@
 	b, k := q.b, &q.b.kinds[q.kind]
 	if q.fetched || k.fetch == 0 {
 		if !q.overran {
-			b.slack = min(b.slack+slackUp*(q.aim-q.born)/k.aim, slackMost)
+			b.slack += slackUp * (q.aim - q.born) / k.aim
 		}
 		b.host.Answer(q, whole && (q.whole || !q.fetched))
 		q.finish()
@@ -253,10 +257,9 @@
 		return
 	}
 	harmless := true
-	if k.effect == NonIdempotent {
-		for _, p := range q.parts {
-			harmless = harmless && p.mayRun < 0 && p.state != out && p.state != landed
-		}
+	for _, p := range q.parts {
+		ran := p.mayRun >= 0 || p.state == out || p.state == landed
+		harmless = harmless && !(ran && k.effect == NonIdempotent)
 	}
 	if !harmless {
 		b.host.Error(q)
@@ -339,8 +342,7 @@
 	return true
 }
 
-// spare: does the budget of further sub-requests hold one more? What was cancelled
-// to be resent has its place already.
+// spare: does the budget hold one more sub-request beside those for which others were cancelled?
 func (b *Broker) spare() bool {
 	taken := b.taken.since(b.now - b.over + b.period)
 	return b.further.since(b.now-b.over-b.period)+float64(b.owed)+1 <= b.extra+b.share*taken
@@ -349,8 +351,7 @@
 // align gives a search the replica offset whose nodes hold fewest calls of this
 // broker; among equals, that which crosses zones least, else any, so that brokers do not herd.
 func (b *Broker) align(q *Search) {
-	best, from := math.Inf(1), int(b.rand.next()*float64(b.spread))
-	pick := 0
+	best, pick, from := math.Inf(1), 0, int(b.rand.next()*float64(b.spread))
 	for j := range b.spread {
 		q.offset = (from + j) % b.spread
 		b.stamp++
@@ -602,8 +603,7 @@
 		for p := n.oldest; p != nil; {
 			younger, k := p.younger, &b.kinds[p.q.kind]
 			if age := b.now - p.sent; age > overdue*k.aim {
-				late := p.late
-				if !late {
+				if !p.late {
 					p.late = true
 					b.blame(n, 1, false)
 					n.lat, n.latAt = max(n.lat, age), b.now
@@ -615,9 +615,7 @@
 					b.flying--
 					b.blame(n, loud, false)
 				}
-				if late {
-					b.move(n, p, k, age) // a sweep later, when all parts sent with it are known to be late or not
-				}
+				b.move(n, p, k, age)
 			}
 			p = younger
 		}
@@ -628,7 +626,7 @@
 			q.overran = true
 			if b.away == 0 {
 				// By the share of the target it had: repeats with little time left tell less of strain.
-				b.slack = max(b.slack-slackDown*(q.aim-q.born)/k.aim, slackLeast)
+				b.slack *= 1 - slackDown*(q.aim-q.born)/k.aim
 			}
 		}
 		switch {
@@ -655,11 +653,9 @@
 		return
 	}
 	// Guards against sending costly parts round and round: what later ones have overtaken, what
-	// was late at two nodes, or is late like most of its search, is slow by itself, unless the
-	// node is mute.
-	coming := q.coming()
-	if !p.hung && (p.sent <= n.overtaken || p.tries > 1 || coming < half) ||
-		q.waiting > 0 || coming >= q.need()-short {
+	// was late at two nodes or is late like most of its search is slow by itself; not at a mute node.
+	if !p.hung && (p.sent <= n.overtaken || p.tries > 1 || q.costly(age)) ||
+		q.waiting > 0 || q.coming() >= q.need()-short {
 		return
 	}
 	if at := b.pick(q, p); at < 0 || b.lag(&b.nodes[at]) > better*age {
@@ -684,11 +680,9 @@
 			b.seen = append(b.seen, 0)
 		}
 		n := &b.nodes[e.Node]
-		if e.Started > 0 && e.Started > n.started {
-			if n.known || b.now-e.Started < b.cold {
-				n.started = e.Started
-				n.sick, n.trial, n.mute, n.good, n.bad, n.lat = false, false, false, 0, 0, 0
-			}
+		if e.Started > max(n.started, 0) && (n.known || b.now-e.Started < b.cold) {
+			n.started = e.Started
+			n.sick, n.trial, n.mute, n.good, n.bad, n.lat = false, false, false, 0, 0, 0
 		}
 		n.known, n.cell, n.near, n.standing = true, e.Cell, e.Near, e.Standing
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -276,6 +276,19 @@
 	}
 }
 
+func TestSearchLateAsAWholeIsNotSentRound(t *testing.T) {
+	terms, nodes := plainTerms()
+	w := newWorld(t, terms, nodes)
+	a := w.ask(0, 4, 0, 1, 2, 3)
+	for i, p := range a.parts { // every node has answered since, so none is mute
+		w.b.nodes[p.node].heardAt = w.now + float64(i)*1e-3
+	}
+	w.pass(0.9)
+	if w.cancels > 0 {
+		t.Fatalf("%d parts of a search that is slow by itself were called off", w.cancels)
+	}
+}
+
 func TestOwnStallIsNotSlownessOfNodes(t *testing.T) {
 	terms, nodes := plainTerms()
 	w := newWorld(t, terms, nodes)
