--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -91,7 +91,7 @@
 			default:
 				if len(w.asks) > 0 && rapid.Bool().Draw(rt, "client leaves") {
 					a := w.asks[len(w.asks)-1]
-					if !a.ended {
+					if !a.ended || w.find(a.q) == a && a.q.flying > 0 { // also after the end, while parts are out
 						a.ended = true
 						w.turn(a.q.Gone)
 					}
