--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,7 +51,6 @@
 	shedTilt   = 0.25  // how far that moves for each e-fold of value for work,
 	shedLeast  = 0.15  // but not below what a search uses on a calm day
 	narrow     = 0.6   // weight of the part that decides, which may be one node's trouble
-	roomy      = 0.5   // share of the cap in flight below which it is shed more rarely
 	slackUp    = 0.006 // an answer in time widens the range of shedding,
 	slackDown  = 0.06  // an overrun narrows it,
 	slackBack  = 0.03  // and each judgement takes it back to the middle by this share
@@ -469,8 +468,7 @@
 	// Spare parts pay while reply times are random; when all nodes are slow together
 	// they are real work, so then a search asks for what it needs and no more at first.
 	q.thrifty = used > thrift
-	room := min(float64(b.flying)/(roomy*b.cap), 1)
-	return b.rand.next() < room*(used-from)/(full-from)
+	return b.rand.next() < (used-from)/(full-from)
 }
 
 // heard takes in an answer.
