--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,6 +44,7 @@
 	lateNew    = 0.1   // with this weight of the newest,
 	capCut     = 0.85  // by this factor,
 	capRest    = 0.25  // at most once in so many seconds
+	crowd      = 3.0   // not below so many parts a node by all brokers together
 	capGain    = 0.5   // by how much a cap's worth of parts in time raises it again
 	thrift     = 0.15  // expected share of the target used from which spare parts wait
 	shedFrom   = 0.35  // and at which average searches begin to be shed,
@@ -491,7 +492,7 @@
 		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
 		// Guards against a node that fell silent and came back cold before the list tells.
 		// Where many are cold already, what is kept from them would overload the rest.
-		if n.mute || b.now-n.heardAt > absence && float64(2*b.colds) < b.least {
+		if n.mute || b.now-n.heardAt > absence && 2*b.colds < b.active {
 			n.started = b.now
 			b.colds++
 		}
@@ -532,7 +533,7 @@
 		return
 	}
 	if b.lateness += lateNew; b.lateness > lateLot && b.now >= b.cutAt+capRest {
-		b.cap = max(b.least, capCut*min(b.cap, float64(b.flying+1)))
+		b.cap = max(crowd*float64(b.active)/b.brokers, capCut*min(b.cap, float64(b.flying+1)))
 		b.cutAt = b.now
 	}
 }
@@ -564,8 +565,7 @@
 			rise, sink = rise+max(x, 0), sink+min(x, 0)
 		}
 	}
-	b.least = float64(active)
-	if active == 0 {
+	if b.active = active; active == 0 {
 		return
 	}
 	if warm < active {
--- a/balance/state.go
+++ b/balance/state.go
@@ -51,9 +51,11 @@
 	beyond            float64
 	worth             float64 // running mean of value for work
 	flying            int     // sub-requests out that are not overdue
-	cap, least        float64 // what flying may reach; what it may fall to
+	cap               float64 // what flying may reach
+	active            int     // nodes that the list calls active
 	lateness          float64 // running share of parts that came back late or were turned away
 	cutAt             float64
+	brokers           float64
 	slack             float64 // scale of the range in which searches are shed
 	tight             float64 // the shortest target
 	guard, period     float64
@@ -86,7 +88,7 @@
 		fallBy: t.FallMultiple, extra: t.Extra, share: t.ExtraShare, over: t.Over, byWork: t.ByWork,
 		beyond: t.OverShare, cap: math.Inf(1), asked: t.Asked,
 		holders: make([][]int, t.Shards), members: make([][]int, t.Cells), cutAt: math.Inf(-1),
-		slack: 1, tight: math.Inf(1)}
+		slack: 1, tight: math.Inf(1), brokers: float64(t.Brokers)}
 	if t.Over <= 0 {
 		b.extra, b.share, b.over = ownFew, own, ownOver
 	}
