A tokened part past its window ends its search at once

Cause, found by reading: a part that failed within its window and had no other holder waited on when the window had passed, and its search was held to its target. A small test shows it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -63,8 +63,7 @@
 // Begin opens a turn.
 func (b *Broker) Begin(now float64) {
 	b.turn++
-	// Guards against taking a stall of this process, or of its machine, for slowness of every
-	// node: replies that lay waiting tell nothing of times.
+	// Guards against taking a stall of this process, or its machine, for slowness of every node.
 	if b.away = 0; b.now > 0 && now > b.wakeAt+b.period {
 		b.away = now - b.wakeAt
 	}
@@ -320,7 +319,11 @@
 			if float64(b.flying) >= b.cap {
 				return false
 			}
-			if p.tries > 0 && (!b.again(p) || !b.spare()) {
+			if p.tries > 0 && !b.again(p) { // the window in which its repeats are dropped has passed
+				p.state, q.lost, q.waiting = spent, q.lost+p.weight, q.waiting-1
+				continue
+			}
+			if p.tries > 0 && !b.spare() {
 				continue
 			}
 			at := b.pick(q, p)
@@ -340,6 +343,7 @@
 			b.host.Send(q, p.at, at, wait)
 		}
 	}
+	q.settle()
 	return true
 }
 
@@ -375,8 +379,7 @@
 	q.offset = pick
 }
 
-// pick chooses the node for a part: the holder at the search's offset unless that is
-// shut or overdue, else the least overdue and least laden of the others.
+// pick chooses a part's node: the holder at the offset unless shut or overdue, else the least late.
 func (b *Broker) pick(q *Search, p *part) int {
 	hs, limit := b.holders[p.shard], overdue*b.kinds[q.kind].aim
 	best, bestLag, bestOut := -1, 0.0, 0
@@ -403,8 +406,7 @@
 	return best
 }
 
-// open: may a node be sent this much work now? A sick one only for a trial, or with
-// desperate when no holder is sound, one part at a time.
+// open: may a node be sent this work now? A sick one for a trial, or where none is sound (desperate).
 func (b *Broker) open(n *node, work float64, desperate bool) bool {
 	if n.standing != Active || n.sick && !(n.out == 0 && (n.trial || desperate)) {
 		return false
@@ -538,8 +540,7 @@
 	}
 }
 
-// judge compares each node's share of failures with the fleet's median, and measures
-// what a warm node bears.
+// judge compares nodes' shares of failures with the median, and measures what warm ones bear.
 func (b *Broker) judge() {
 	b.judgeAt = b.now + judging
 	b.slack += slackBack * (1 - b.slack)
@@ -643,8 +644,7 @@
 	}
 }
 
-// move cancels an overdue sub-request so that its part can go to another holder, where
-// the search needs the part, and the other is so much less late that it is worth it.
+// move calls an overdue sub-request off where another holder is so much less late that it is worth it.
 func (b *Broker) move(n *node, p *part, k *kind, age float64) {
 	q := p.q
 	if q.ended || p.at < q.first || p.dropped || !b.cancels || p.tries >= b.tries || !b.spare() ||
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -289,6 +289,19 @@
 	}
 }
 
+func TestTokenedPartPastItsWindowEndsItsSearch(t *testing.T) {
+	terms, nodes := plainTerms()
+	terms.Types[0].Effect, terms.Types[0].Window = Tokened, 0.3
+	w := newWorld(t, terms, nodes[:2]) // no other holder to go to
+	a := w.ask(0, 4, 0)
+	w.pass(0.1)
+	w.reply(a, 0, Errored)
+	w.pass(0.3)
+	if !a.ended {
+		t.Fatal("a search that cannot be answered any more is held")
+	}
+}
+
 func TestOwnStallIsNotSlownessOfNodes(t *testing.T) {
 	terms, nodes := plainTerms()
 	w := newWorld(t, terms, nodes)
