--- a/balance/host.go
+++ b/balance/host.go
@@ -62,7 +62,7 @@
 // derived from it, not the terms themselves.
 type Terms struct {
 	Seed                 uint64
-	Index, Brokers       int
+	Brokers              int
 	Tick                 float64
 	Types                []QueryType
 	Quotas               []float64 // per dealer: searches a second within its share, all brokers together
--- a/internal/simwire/terms.go
+++ b/internal/simwire/terms.go
@@ -33,7 +33,7 @@
 		CountedOver, FurtherRatio, MinExtra float64
 	}
 	Discovery, MyZone, WorthBy string
-	Instances, Index           int
+	Instances                  int
 	OverShareWorth, Tick       float64
 }
 
@@ -49,7 +49,7 @@
 	if len(f.ClassNeed) != n || len(f.MinShare) != n || len(f.IncompleteWorth) != n || len(f.FetchParts) != n {
 		return balance.Terms{}, nil, fmt.Errorf("BOOT: field config: familyInfo: expected %d values each", n)
 	}
-	t := balance.Terms{Seed: seed, Index: s.Index, Brokers: s.Instances, Tick: s.Tick * ms,
+	t := balance.Terms{Seed: seed, Brokers: s.Instances, Tick: s.Tick * ms,
 		OverShare: s.OverShareWorth, ByWork: s.WorthBy == "work", Cells: f.Places, Reach: f.Reach, Shards: f.Slices,
 		PerCall: f.PerCall, Tries: l.MostTries, MayCancel: l.MayCancel, MayProbe: l.MayProbe,
 		Asked: s.Discovery == "on_request", Cold: r.Cold * ms, ColdFrom: r.ColdFrom, Fall: r.Fall * ms,
