--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,7 +23,7 @@
 	learnLag   = 0.3   // weight of the newest reply in a node's lateness,
 	learnPace  = 0.1   // in the seconds a part that a node holds,
 	learnFleet = 0.02  // and in the fleet's
-	peak       = 0.95  // where among warm nodes' loads the capacity of a cold one is put
+	peak       = 0.85  // where among warm nodes' loads the capacity of a cold one is put
 	learnBear  = 0.1   // weight of the newest judgement in that guess
 	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
 	mostSick   = 4     // one node in so many may be left out for its record
