--- a/balance/balance.go
+++ b/balance/balance.go
@@ -390,11 +390,10 @@
 			if h == p.node || !b.open(n, b.kinds[q.kind].work, pass == 1) {
 				continue
 			}
-			lag := b.lag(n) - limit
 			if n.turn == b.turn && n.joined < b.perCall {
-				lag -= float64(n.joined) * max(n.pace, b.pace) // call mates are one call, not lateness
+				return h // it shares the call that goes there this turn
 			}
-			lag = max(lag, 0)
+			lag := max(b.lag(n)-limit, 0)
 			if j == 0 && lag == 0 {
 				return h
 			}
