--- a/balance/balance.go
+++ b/balance/balance.go
@@ -390,9 +390,6 @@
 			if h == p.node || !b.open(n, b.kinds[q.kind].work, pass == 1) {
 				continue
 			}
-			if n.turn == b.turn && n.joined < b.perCall {
-				return h // it shares the call that goes there this turn
-			}
 			lag := max(b.lag(n)-limit, 0)
 			if j == 0 && lag == 0 {
 				return h
