Unused connections renewed, failing zones left as a whole, floors that fit a small broker

Connections left unused are renewed before a send while parts sent after a second of rest fall silent 0.3 more often than others. Also covers silent middle boxes and restarts; costs a handshake a send while it acts. The cap never falls below the widest search. A zone whose parts fail 0.3 more often than the best zone's counts late as a whole, each node's failures once. A dealer may save up three searches: a small broker's share of two seconds was under one, so all its traffic counted as beyond the share.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,11 +1,10 @@
 // Package balance decides which node every part of every search goes to, and
 // how every search ends.
 //
-// A caller makes one Broker with New and gives it a Host (host.go), which is all
-// that the broker can do to the world. It calls Begin with the time; then Take for
-// a search, Part on the handle for each of its parts, and Reply, Gone, Probed, List
-// and Unlisted as things happen; then Close, where sends are decided so that parts
-// for one node can share a call. The bookkeeping is in state.go.
+// A caller makes one Broker with New and gives it a Host (host.go), all that the broker can do
+// to the world. It calls Begin with the time; then Take for a search, Part on the handle for each
+// of its parts, and Reply, Gone, Probed, List and Unlisted as things happen; then Close, where
+// sends are decided so that parts for one node can share a call. Bookkeeping is in state.go.
 //
 // The mechanism is greedy coded reads; docs/design.md tells it and every exception.
 package balance
@@ -16,54 +15,42 @@
 )
 
 const (
-	overdue    = 0.3   // share of the latency target after which silence sends a part elsewhere
-	patience   = 6.0   // and the spreads beyond the usual reply time after which it is called off
-	better     = 0.5   // where the other holder lags by less than this share of the wait
-	replies    = 3.0   // outcomes of a node in whose time what is known of it halves,
-	memory     = 1.0   // in so many seconds at least
-	longest    = 10.0  // and at most
-	dull       = 1.0   // seconds that a failure counts for at least in a node's lateness
-	learnLag   = 0.3   // weight of the newest reply in a node's lateness,
-	learnPace  = 0.1   // in the seconds a part that a node holds,
-	learnRate  = 0.05  // in the outcomes a second from a node,
-	learnUsual = 0.05  // in a type's usual reply time and its spread,
-	learnFleet = 0.02  // and in the fleet's
-	peak       = 0.85  // where among warm nodes' loads the capacity of a cold one is put
-	learnBear  = 0.1   // weight of the newest judgement in that guess
-	margin     = 0.3   // failure share beyond the fleet's median that makes a node sick
-	mostSick   = 4     // one node in so many may be left out for its record
-	judging    = 0.25  // seconds between judgements of the nodes
-	recall     = 2.0   // memories in which a node's record halves
-	doubt      = 3.0   // weight of what a record does not know
-	absence    = 2.0   // memories of silence in which a node may have restarted unlisted
-	loud       = 3.0   // weight of a failure that speaks of the whole node, not of one part
-	firstRest  = 0.5   // seconds before a sick node is asked again, doubling
-	lastRest   = 4.0   // up to this
-	short      = 5e-5  // what sums of weights may fall short of by rounding
-	own        = 0.2   // further sub-requests per search and part where no budget is stated,
-	ownFew     = 10.0  // plus so many,
-	ownOver    = 10.0  // over so many seconds
-	saved      = 2.0   // seconds of its share that a dealer can save up
-	sweepTicks = 4     // ticks from one sweep to the next
-	guardTicks = 3     // and beyond that, from a final answer to the end of the client's time
-	lateLot    = 0.25  // share of late or refused parts that lowers the cap,
-	lateNew    = 0.1   // with this weight of the newest,
-	capCut     = 0.85  // by this factor,
-	capRest    = 0.25  // at most once in so many seconds
-	crowd      = 3.0   // not below so many parts a node by all brokers together
-	capGain    = 0.5   // by how much a cap's worth of parts in time raises it again
-	thrift     = 0.15  // expected share of the target used from which spare parts wait
-	shedFrom   = 0.35  // and at which average searches begin to be shed,
-	shedFull   = 0.8   // and all are;
-	shedTilt   = 0.25  // how far that moves for each e-fold of value for work,
-	shedLeast  = 0.15  // but not below what a search uses on a calm day
-	narrow     = 0.6   // weight of the part that decides, which may be one node's trouble
-	slackUp    = 0.006 // an answer in time widens the range of shedding,
-	slackDown  = 0.06  // an overrun narrows it,
-	slackBack  = 0.03  // and each judgement takes it back to the middle by this share
-	unseen     = 0.08  // share of the target that a part's work is taken for at first; then it
-	learnUp    = 0.01  // follows a low quantile of reply times, clear of waiting,
-	learnDown  = 0.1   // by moving up, and down, at these rates
+	overdue  = 0.3  // share of the latency target after which silence sends a part elsewhere,
+	patience = 6.0  // called off only so many spreads beyond its type's usual reply time
+	better   = 0.5  // and where the other holder lags by less than this share of the wait
+	replies  = 3.0  // outcomes of a node in whose time what is known of it halves
+	recall   = 2.0  // memories in which a node's record halves
+	doubt    = 3.0  // weight of what a record does not know
+	absence  = 2.0  // memories of silence in which a node may have restarted unlisted
+	margin   = 0.3  // failure share beyond the fleet's median that makes a node sick
+	mostSick = 4    // one node in so many may be left out for its record
+	loud     = 3.0  // weight of a failure that speaks of the whole node, not of one part
+	dull     = 1.0  // seconds that a failure counts for at least in a node's lateness
+	still    = 1.0  // seconds unused after which a connection may have been dropped unseen
+	judging  = 0.25 // seconds between judgements of the nodes
+	peak     = 0.85 // where among warm nodes' loads the capacity of a cold one is put
+	short    = 5e-5 // what sums of weights may fall short of by rounding
+	crowd    = 3.0  // the cap stays above so many parts a node by all brokers, and one whole search
+	capGain  = 0.5  // by how much a cap's worth of parts in time raises it again
+	thrift   = 0.15 // expected share of the target used from which spare parts wait
+	narrow   = 0.6  // weight of the part that decides, which may be one node's trouble
+	unseen   = 0.08 // share of the target that a part's work is taken for at first
+
+	memory, longest               = 1.0, 10.0         // but in so many seconds at least, and at most
+	firstRest, lastRest           = 0.5, 4.0          // seconds before a sick node is asked again
+	own, ownFew, ownOver          = 0.2, 10.0, 10.0   // budget where none is stated: share, few, seconds
+	saved, few                    = 2.0, 3.0          // seconds of its share, or searches, a dealer may save up
+	sweepTicks, guardTicks        = 4, 3              // ticks between sweeps; and to spare at a client's end
+	lateLot, lateNew              = 0.25, 0.1         // share late or full that lowers the cap; its pace
+	capCut, capRest               = 0.85, 0.25        // factor by which, and seconds between
+	shedFrom, shedFull            = 0.35, 0.8         // expected share of the target: first shed, all shed
+	shedTilt, shedLeast           = 0.25, 0.15        // move for an e-fold of value for work; the least
+	slackUp, slackDown, slackBack = 0.006, 0.06, 0.03 // how answers, overruns, judgements move these
+	learnLag, learnPace           = 0.3, 0.1          // newest reply's weight in a node's lateness, pace,
+	learnFleet, learnUsual        = 0.02, 0.05        // the fleet's pace, a type's usual reply time;
+	learnSilent, learnZone        = 0.05, 0.1         // outcome's in the shares of silence, a zone's failures;
+	learnRate, learnBear          = 0.05, 0.1         // judgement's in the rate of outcomes, capacity
+	learnUp, learnDown            = 0.01, 0.1         // rates at which a part's work follows a low quantile
 )
 
 // Begin opens a turn.
@@ -81,19 +68,17 @@
 	q, k := b.take(), &b.kinds[kind]
 	q.kind, q.born = kind, b.now
 	q.aim, q.cutoff, q.value = b.now+min(k.aim, left), b.now+left-b.guard, k.value
-	// A client that asks again has less time left than on a first try, which tells how long it
-	// has waited already. Guards against work for repeats that nobody can be served by in time.
+	// Guards against work for repeats that nobody can be served by in time: a client that asks
+	// again has less time left than on a first try, which tells how long it has waited.
 	if k.longest = max(k.longest, left); left < k.longest-b.period {
 		if q.aim = min(q.aim, b.now+left-k.grace); q.aim <= b.now {
 			q.aim, q.value = b.now+k.aim, q.value*k.late
 		}
 	}
-	if q.cutoff <= b.now+b.period {
-		b.sweepAt = b.now // so little time left cannot wait for the next sweep
-	}
+	b.sweepAt = min(b.sweepAt, q.cutoff-b.period) // too little time left cannot wait for the next
 	if dealer >= 0 && dealer < len(b.quotas) {
 		quota := b.quotas[dealer]
-		left := min(b.tokens[dealer]+quota*(b.now-b.tokensAt[dealer]), saved*quota)
+		left := min(b.tokens[dealer]+quota*(b.now-b.tokensAt[dealer]), max(saved*quota, few))
 		if left--; left < 0 {
 			left, q.value = left+1, q.value*b.beyond
 		}
@@ -112,6 +97,7 @@
 	p := q.grow()
 	p.shard, p.weight = shard, weight
 	q.waiting++
+	q.b.widest = max(q.b.widest, float64(len(q.parts)))
 	return p.at
 }
 
@@ -129,11 +115,6 @@
 		return
 	}
 	n, k := b.land(p), &b.kinds[q.kind]
-	b.outcomes++
-	if p.dropped {
-		b.owed--
-		p.dropped = false
-	}
 	p.state = unsent
 	switch how {
 	case OK:
@@ -332,7 +313,16 @@
 			if !b.cancels && k.effect != NonIdempotent {
 				wait = better * k.aim
 			}
-			b.nodes[at].sent.add(b.now, k.work)
+			n := &b.nodes[at]
+			// Guards against connections dropped unseen while unused: what is sent on one is lost.
+			if p.rest = 0; n.out == 0 && n.usedAt > 0 && b.now-n.usedAt > still {
+				p.rest = 1
+			}
+			if p.rest == 1 && b.silent[1] > b.silent[0]+margin {
+				p.rest = 0
+				b.host.Renew(at)
+			}
+			n.sent.add(b.now, k.work)
 			b.launch(p, at)
 			coming += p.weight
 			b.host.Send(q, p.at, at, wait)
@@ -363,7 +353,7 @@
 			}
 			b.seen[at] = b.stamp
 			cost += float64(b.nodes[at].calls)
-			if !b.nodes[at].near {
+			if b.nodes[at].zone > 0 {
 				cost += 0.01
 			}
 		}
@@ -386,11 +376,15 @@
 				continue
 			}
 			lag := max(b.lag(n)-limit, 0)
+			// Guards against learning node by node that a zone, or the way there, has failed.
+			if b.zones[n.zone] > b.calm+margin {
+				lag += dull
+			}
 			if j == 0 && lag == 0 {
 				return h
 			}
 			load := n.calls
-			if !n.near {
+			if n.zone > 0 {
 				load += len(b.calls) + 1 // behind all near ones: where links between zones fail, far nodes look idle
 			}
 			if best < 0 || lag < bestLag || lag == bestLag && load < bestOut {
@@ -448,10 +442,8 @@
 	if !b.byWork {
 		rate /= work
 	}
-	if b.worth == 0 {
-		b.worth = rate
-	}
-	b.worth += 0.01 * (rate - b.worth)
+	b.rated = min(b.rated+1, 100)
+	b.worth += (rate - b.worth) / b.rated
 	shift := shedTilt * math.Log(rate/b.worth+1e-9)
 	from, full := b.slack*max(shedFrom+shift, shedLeast), b.slack*max(shedFull+shift, 2*shedLeast)
 	// The shortest target measures the strain for all: else types with long ones would take the room.
@@ -467,6 +459,8 @@
 
 // heard takes in an answer.
 func (b *Broker) heard(n *node, p *part, k *kind, took float64) {
+	b.silent[p.rest] -= learnSilent * b.silent[p.rest]
+	b.zones[n.zone] -= learnZone * b.zones[n.zone]
 	if b.away == 0 {
 		k.swing += learnUsual * (math.Abs(took-k.usual) - k.swing)
 		k.usual += learnUsual * (took - k.usual)
@@ -487,10 +481,8 @@
 	if n.sick && took < overdue*k.aim {
 		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
 		// Guards against a node that fell silent and came back cold before the list tells.
-		// Where many are cold already, what is kept from them would overload the rest.
-		if b.now-n.heardAt > absence*b.memory && 2*b.colds < b.active {
+		if b.now-n.heardAt > absence*b.memory {
 			n.started = b.now
-			b.colds++
 		}
 	}
 	n.heardAt = b.now
@@ -498,6 +490,9 @@
 
 // blame notes a failure of a node.
 func (b *Broker) blame(n *node, weight float64) {
+	if n.bad < 1 { // one node that keeps failing tells nothing of its zone
+		b.zones[n.zone] += learnZone * (1 - b.zones[n.zone])
+	}
 	n.bad += weight
 	if n.sick {
 		b.rest(n)
@@ -527,7 +522,7 @@
 		return
 	}
 	if b.lateness += lateNew; b.lateness > lateLot && b.now >= b.cutAt+capRest {
-		b.cap = max(crowd*float64(b.active)/b.brokers, capCut*min(b.cap, float64(b.flying+1)))
+		b.cap = max(crowd*float64(b.active)/b.brokers, b.widest, capCut*min(b.cap, float64(b.flying+1)))
 		b.cutAt = b.now
 	}
 }
@@ -536,11 +531,16 @@
 func (b *Broker) judge() {
 	b.judgeAt = b.now + judging
 	b.slack += slackBack * (1 - b.slack)
-	b.scratch, b.colds = b.scratch[:0], 0
+	b.scratch = b.scratch[:0]
 	rise, sink, warm, active, sick := 0.0, 0.0, 0, 0, 0
 	b.rate += learnRate * (b.outcomes/judging/float64(max(b.active, 1)) - b.rate)
 	b.outcomes, b.memory = 0, min(max(replies/b.rate, memory), longest)
 	keep := math.Exp2(-judging / (recall * b.memory))
+	b.calm = 1
+	for z := range b.zones {
+		b.zones[z] *= keep
+		b.calm = min(b.calm, b.zones[z])
+	}
 	for i := range b.nodes {
 		n := &b.nodes[i]
 		if n.standing != Active {
@@ -550,9 +550,6 @@
 		n.good *= keep
 		n.bad *= keep
 		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+doubt))
-		if n.started >= 0 && b.now-n.started < b.cold {
-			b.colds++
-		}
 		if n.sick {
 			sick++
 		} else if n.started < 0 || b.now-n.started >= b.cold {
@@ -601,6 +598,7 @@
 			if age := b.now - p.sent; age > overdue*k.aim {
 				if !p.late {
 					p.late = true
+					b.silent[p.rest] += learnSilent * (1 - b.silent[p.rest])
 					if b.blame(n, 1); p.sent > n.overtaken {
 						n.lat, n.latAt = max(n.lat, age), b.now
 					}
@@ -683,14 +681,17 @@
 			n.started = e.Started
 			n.sick, n.trial, n.good, n.bad, n.lat = false, false, 0, 0, 0
 		}
-		n.known, n.cell, n.near, n.standing = true, e.Cell, e.Near, e.Standing
+		n.known, n.cell, n.zone, n.standing = true, e.Cell, e.Zone, e.Standing
+		for len(b.zones) <= e.Zone {
+			b.zones = append(b.zones, 0)
+		}
 	}
 	for c := range b.members {
 		b.members[c] = b.members[c][:0]
 	}
 	for pass := range 2 {
 		for i := range b.nodes {
-			if n := &b.nodes[i]; n.standing != Gone && n.near == (pass == 0) && n.cell < len(b.members) {
+			if n := &b.nodes[i]; n.standing != Gone && (n.zone == 0) == (pass == 0) && n.cell < len(b.members) {
 				b.members[n.cell] = append(b.members[n.cell], i)
 			}
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -28,7 +28,7 @@
 		terms.PerCall = rapid.IntRange(1, 4).Draw(rt, "per call")
 		terms.MayCancel = rapid.Bool().Draw(rt, "cancel")
 		terms.MayProbe = rapid.Bool().Draw(rt, "probe")
-		terms.Brokers = rapid.IntRange(1, 3).Draw(rt, "brokers")
+		terms.Brokers = rapid.SampledFrom([]int{1, 3, 140}).Draw(rt, "brokers")
 		if rapid.Bool().Draw(rt, "budget") {
 			terms.Extra, terms.ExtraShare, terms.Over = 2, 0.2, 2
 		}
@@ -41,7 +41,7 @@
 		}
 		var nodes []Listed
 		for i := range 3 * terms.Cells {
-			nodes = append(nodes, Listed{Node: i, Cell: i % terms.Cells, Near: i%2 == 0})
+			nodes = append(nodes, Listed{Node: i, Cell: i % terms.Cells, Zone: i % 2})
 		}
 		w := newWorld(t, terms, nodes)
 		w.rt = rt
@@ -262,7 +262,7 @@
 
 func TestPartsLeaveForTheOwnZone(t *testing.T) {
 	terms, nodes := plainTerms()
-	nodes = append(nodes, Listed{Node: 4, Cell: 0, Near: true}) // beside 0 and 2, which are far
+	nodes = append(nodes, Listed{Node: 4, Cell: 0}) // beside 0 and 2, which are far
 	w := newWorld(t, terms, nodes)
 	for range 3 {
 		w.b.launch(w.b.take().grow(), 4) // the near one is busier
@@ -283,7 +283,7 @@
 		for i := range 40 {
 			a := w.ask(0, 4, i%4)
 			w.pass(0.05)
-			if slow && i%4 == 0 {
+			if slow && i%2 == 0 {
 				w.pass(0.25)
 			}
 			w.reply(a, 0, OK)
@@ -312,6 +312,63 @@
 	}
 }
 
+func TestConnectionsAreRenewedWhereUnusedOnesLosePartsOnly(t *testing.T) {
+	for _, lossy := range []bool{false, true} {
+		terms, nodes := plainTerms()
+		w := newWorld(t, terms, nodes)
+		for range 40 {
+			renewed := w.renewed
+			a := w.ask(0, 4, 0)
+			w.pass(0.05)
+			if lossy && a.parts[0].tries == 1 && w.renewed == renewed {
+				w.pass(0.6)
+			}
+			if a.parts[0].cancelled {
+				w.reply(a, 0, Cancelled)
+			}
+			if a.parts[0].out {
+				w.reply(a, 0, OK)
+			}
+			w.pass(3)
+		}
+		if (w.renewed > 0) != lossy {
+			t.Fatalf("%d connections renewed, unused ones lose parts: %v", w.renewed, lossy)
+		}
+	}
+}
+
+func TestFailingZoneIsLeftAsAWhole(t *testing.T) {
+	terms, nodes := plainTerms()
+	terms.Cells, terms.Shards = 10, 10
+	nodes = nil
+	for i := range 20 { // each shard has a near and a far holder
+		nodes = append(nodes, Listed{Node: i, Cell: i % 10, Zone: i / 10})
+	}
+	w := newWorld(t, terms, nodes)
+	for s := range 8 { // far nodes fail once each, which is little to say of any one of them
+		w.b.blame(&w.b.nodes[10+s], 1)
+	}
+	w.pass(0.3)
+	q := w.b.take()
+	p := q.grow()
+	p.shard, q.offset = 9, 1
+	if at := w.b.pick(q, p); at != 9 {
+		t.Fatalf("a part goes to node %d of a zone whose parts all failed", at)
+	}
+}
+
+func TestSmallBrokersDealerHasASearchSaved(t *testing.T) {
+	terms, nodes := plainTerms()
+	terms.Brokers, terms.Quotas, terms.OverShare = 100, []float64{10}, 0.1
+	w := newWorld(t, terms, nodes)
+	w.pass(30)
+	w.turn(func() {
+		if q := w.b.Take(0, 0, 4); q.value != 1 {
+			t.Fatalf("a dealer's first search in 30 s, its share one in 10 s, counts %g", q.value)
+		}
+	})
+}
+
 func TestTokenedPartPastItsWindowEndsItsSearch(t *testing.T) {
 	terms, nodes := plainTerms()
 	terms.Types[0].Effect, terms.Types[0].Window = Tokened, 0.3
@@ -373,5 +430,6 @@
 func (h *quiet) Shed(*Search, float64)           {}
 func (h *quiet) Error(*Search)                   {}
 func (h *quiet) Probe(int)                       {}
+func (h *quiet) Renew(int)                       {}
 func (h *quiet) Watch()                          {}
 func (h *quiet) Wake(float64)                    {}
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -26,6 +26,7 @@
 	further  []float64
 	probes   []int
 	watches  int
+	renewed  int
 	sends    int
 	cancels  int
 	answered int
@@ -72,7 +73,7 @@
 		Types: []QueryType{{Target: 1, Timeout: 4, Value: 1, Need: 1, Least: 1, Window: 1}}}
 	var nodes []Listed
 	for i := range 4 {
-		nodes = append(nodes, Listed{Node: i, Cell: i % 2})
+		nodes = append(nodes, Listed{Node: i, Cell: i % 2, Zone: 1})
 	}
 	return t, nodes
 }
@@ -278,5 +279,6 @@
 
 func (w *world) Error(q *Search) { w.end(q); w.errored++ }
 func (w *world) Probe(node int)  { w.probes = append(w.probes, node) }
+func (w *world) Renew(node int)  { w.renewed++ }
 func (w *world) Watch()          { w.watches++ }
 func (w *world) Wake(at float64) { w.wakes = append(w.wakes, at) }
--- a/balance/host.go
+++ b/balance/host.go
@@ -19,6 +19,8 @@
 	Error(q *Search)
 	// Probe tests a node; what it finds comes through Broker.Probed.
 	Probe(node int)
+	// Renew closes the unused connections to a node, so that the next Send opens one.
+	Renew(node int)
 	// Watch subscribes to the node list where it does not come unasked.
 	Watch()
 	// Wake asks for a Close at that time or soon after it.
@@ -92,7 +94,7 @@
 // Listed is one entry of the node list. Started 0 means long ago.
 type Listed struct {
 	Node, Cell int
-	Near       bool // in this broker's own zone
+	Zone       int // 0 is this broker's own
 	Standing   Standing
 	Started    float64
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -50,13 +50,17 @@
 	quotas, tokens    []float64 // by dealer: this broker's part of the share a second; what is left of it
 	tokensAt          []float64
 	beyond            float64
-	worth             float64 // running mean of value for work
-	flying            int     // sub-requests out that are not overdue
-	cap               float64 // what flying may reach
-	active            int     // nodes that the list calls active
-	outcomes, rate    float64 // since the last judgement; a second and node
-	memory            float64 // seconds in which what is known of a node halves
-	lateness          float64 // running share of parts that came back late or were turned away
+	worth, rated      float64    // running mean of value for work, of so many searches
+	flying            int        // sub-requests out that are not overdue
+	cap               float64    // what flying may reach
+	widest            float64    // the most parts of a search so far
+	active            int        // nodes that the list calls active
+	zones             []float64  // by zone: running share of failures
+	calm              float64    // the least of them
+	outcomes, rate    float64    // since the last judgement; a second and node
+	memory            float64    // seconds in which what is known of a node halves
+	silent            [2]float64 // share of parts that fell silent, apart for those sent after a rest
+	lateness          float64    // running share of parts that came back late or were turned away
 	cutAt             float64
 	brokers           float64
 	slack             float64 // scale of the range in which searches are shed
@@ -64,7 +68,6 @@
 	guard, period     float64
 	sweepAt, judgeAt  float64
 	pace              float64 // the same of the whole fleet
-	colds             int     // active nodes that are cold
 	away              float64 // how long this process was held up before this turn
 	wakeAt            float64
 	asked, watching   bool
@@ -141,6 +144,7 @@
 	older, younger *part // the node's sub-requests that are awaited, by age
 	aged           bool  // in that list
 	late, hung     bool  // overdue; and so outside the cap
+	rest           int   // 1 if sent on a connection that had not been used for a while
 	dropped        bool  // cancelled by us to be resent
 }
 
@@ -176,7 +180,7 @@
 type node struct {
 	known      bool
 	cell       int
-	near       bool
+	zone       int
 	standing   Standing
 	started    float64 // cold from here on; below 0: long ago
 	out, calls int
@@ -188,6 +192,7 @@
 	pace       float64 // seconds a part that it holds for this broker
 	lat, latAt float64 // recent reply time, and when it was noted
 	heardAt    float64 // the last answer
+	usedAt     float64 // the last outcome
 	overtaken  float64 // the latest send that has been answered
 	good, bad  float64
 	sick       bool
@@ -376,5 +381,10 @@
 	if !p.hung {
 		b.flying--
 	}
+	if p.dropped {
+		b.owed--
+		p.dropped = false
+	}
+	n.usedAt, b.outcomes = b.now, b.outcomes+1
 	return n
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -52,7 +52,7 @@
 	broker  *balance.Broker
 	lanes   map[string]int
 	tenants map[string]int
-	zone    string
+	zones   map[string]int
 	nodes   map[string]int
 	addrs   []string
 	held    map[int64]owner
@@ -203,7 +203,7 @@
 	if err != nil {
 		return err
 	}
-	h := &host{s: s, inst: inst, zone: set.MyZone, lanes: map[string]int{}, tenants: map[string]int{},
+	h := &host{s: s, inst: inst, zones: map[string]int{set.MyZone: 0}, lanes: map[string]int{}, tenants: map[string]int{},
 		nodes: map[string]int{}, held: map[int64]owner{}, queries: map[int64]*balance.Search{}}
 	for i, l := range set.Lanes {
 		h.lanes[l.Name] = i
@@ -265,7 +265,12 @@
 	}
 	entries := make([]balance.Listed, 0, len(list))
 	for _, e := range list {
-		entries = append(entries, balance.Listed{Node: h.node(e.addr), Cell: e.cell, Near: e.zone == h.zone,
+		zone, ok := h.zones[e.zone]
+		if !ok {
+			zone = len(h.zones)
+			h.zones[e.zone] = zone
+		}
+		entries = append(entries, balance.Listed{Node: h.node(e.addr), Cell: e.cell, Zone: zone,
 			Standing: e.standing, Started: e.started})
 	}
 	h.broker.List(kind != "diff", entries)
@@ -430,6 +435,12 @@
 	h.end()
 }
 
+func (h *host) Renew(node int) {
+	h.action("DROP_CONNS")
+	h.str(h.addrs[node])
+	h.end()
+}
+
 func (h *host) Watch() {
 	h.action("WATCH")
 	h.flag(true)
