--- a/balance/balance.go
+++ b/balance/balance.go
@@ -608,7 +608,6 @@
 				if !p.hung && age > better*k.aim && n.heardAt < p.sent {
 					p.hung = true
 					b.flying--
-					b.blame(n, loud)
 				}
 				// Guards against feeding a jam: where replies are often slow, silence is a long line.
 				if age > k.usual+patience*k.swing {
