Small brokers send to cold nodes by lot; their capacity is guessed from the mean load

What fed them at all was a bias: the upper expectile of windows that are mostly empty comes to several times the mean, unlike on a small fleet. Now the capacity is twice the mean of what warm nodes bear, and where the room is under one part each broker sends its one by lot, a deviation clear of the limit for all.

Also meets restarts and silent returns; may starve a fleet that was idle before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,7 +28,8 @@
 	dull     = 1.0  // seconds that a failure counts for at least in a node's lateness
 	still    = 1.0  // seconds unused after which a connection may have been dropped unseen
 	judging  = 0.25 // seconds between judgements of the nodes
-	peak     = 0.85 // where among warm nodes' loads the capacity of a cold one is put
+	spread   = 1.0  // deviations that sends to cold nodes by lot keep clear of their limit
+	headroom = 2.0  // the capacity of a cold node over what warm ones bear on average
 	short    = 5e-5 // what sums of weights may fall short of by rounding
 	crowd    = 3.0  // the cap stays above so many parts a node by all brokers, and one whole search
 	capGain  = 0.5  // by how much a cap's worth of parts in time raises it again
@@ -66,7 +67,7 @@
 // Take takes a search whose client waits so long yet; dealer below 0 is none.
 func (b *Broker) Take(kind, dealer int, left float64) *Search {
 	q, k := b.take(), &b.kinds[kind]
-	q.kind, q.born = kind, b.now
+	q.kind, q.born, q.need = kind, b.now, k.need
 	q.aim, q.cutoff, q.value = b.now+min(k.aim, left), b.now+left-b.guard, k.value
 	// Guards against work for repeats that nobody can be served by in time: a client that asks
 	// again has less time left than on a first try, which tells how long it has waited.
@@ -165,14 +166,6 @@
 	return k.effect == Tokened && b.now < p.mayRun+k.window
 }
 
-// need is the share of the current step's weight that answers it.
-func (q *Search) need() float64 {
-	if q.fetched {
-		return 1
-	}
-	return q.b.kinds[q.kind].need
-}
-
 // coming is the weight that is in or on its way and not overdue.
 func (q *Search) coming() float64 {
 	w := q.got
@@ -186,9 +179,9 @@
 
 // settle answers a search that has what it needs and ends one that cannot get it.
 func (q *Search) settle() {
-	if need := q.need(); q.got >= need-short && len(q.parts) > q.first {
+	if q.got >= q.need-short && len(q.parts) > q.first {
 		q.answer(true)
-	} else if 1-q.lost < need-short {
+	} else if 1-q.lost < q.need-short {
 		q.quit()
 	}
 }
@@ -205,7 +198,7 @@
 	}
 	b.host.Answer(q, whole)
 	q.recall()
-	q.fetched, q.whole, q.first, q.got, q.lost, q.waiting = true, whole, len(q.parts), 0, 0, 0
+	q.fetched, q.whole, q.need, q.first, q.got, q.lost, q.waiting = true, whole, 1, len(q.parts), 0, 0, 0
 }
 
 // recall stops what is still out for the current step; its parts are no more needed.
@@ -288,7 +281,7 @@
 	for pass := range 2 {
 		for _, p := range q.parts[q.first:] {
 			// Enough on its way: spare parts wait where all nodes are slow, and where theirs is.
-			enough := coming >= q.need()-short
+			enough := coming >= q.need-short
 			if p.state != unsent || enough && (q.thrifty || pass == 1) {
 				continue
 			}
@@ -402,12 +395,21 @@
 	}
 	// Guards against pushing over a node that has just started: all work sent in a fall window
 	// counts, the others are taken to send as we do; with no warm node to tell, one part a window.
-	if age := b.now - n.started; n.started >= 0 && age < b.cold {
-		warmth := b.coldFrom + (1-b.coldFrom)*max(age, 0)/b.cold
-		sent := n.sent.since(b.now - b.fall)
-		return sent+work <= b.fallBy*warmth*b.bear || b.bear == 0 && sent == 0
+	age := b.now - n.started
+	if n.started < 0 || age >= b.cold {
+		return true
 	}
-	return true
+	sent, room := n.sent.since(b.now-b.fall), b.fallBy*(b.coldFrom+(1-b.coldFrom)*max(age, 0)/b.cold)*b.bear
+	if sent > 0 || room >= work || b.bear == 0 {
+		return sent+work <= room || sent+b.bear == 0
+	}
+	// A small broker's room is under one part, that of all is not: each sends its one by lot, so
+	// seldom that chance rarely brings more of them than there is room for. Guards against starving.
+	if b.now >= n.luckAt {
+		n.luckAt, n.luck = b.now+b.fall, b.rand.next()
+	}
+	root := (math.Sqrt(spread*spread+4*b.brokers*room/work) - spread) / 2
+	return n.luck*b.brokers < root*root
 }
 
 // lag is how late a node is: by the sub-request owed longest, what it holds and its last replies,
@@ -532,7 +534,7 @@
 	b.judgeAt = b.now + judging
 	b.slack += slackBack * (1 - b.slack)
 	b.scratch = b.scratch[:0]
-	rise, sink, warm, active, sick := 0.0, 0.0, 0, 0, 0
+	done, warm, active, sick := 0.0, 0, 0, 0
 	b.rate += learnRate * (b.outcomes/judging/float64(max(b.active, 1)) - b.rate)
 	b.outcomes, b.memory = 0, min(max(replies/b.rate, memory), longest)
 	keep := math.Exp2(-judging / (recall * b.memory))
@@ -554,18 +556,14 @@
 			sick++
 		} else if n.started < 0 || b.now-n.started >= b.cold {
 			warm++
-			x := n.done.since(b.now-b.fall) - b.bear
-			rise, sink = rise+max(x, 0), sink+min(x, 0)
+			done += n.done.since(b.now - b.fall)
 		}
 	}
 	if b.active = active; active == 0 {
 		return
 	}
-	if warm < active {
-		sink = 0 // what is kept from cold nodes must not make them seem able to bear less and less
-	}
 	if warm > 0 && 3*warm >= active {
-		b.bear += learnBear * (peak*rise + (1-peak)*sink) / float64(warm)
+		b.bear += learnBear * (headroom*done/float64(warm) - b.bear)
 	}
 	slices.Sort(b.scratch)
 	median := b.scratch[len(b.scratch)/2]
@@ -632,7 +630,7 @@
 		case b.now >= q.aim-b.period && q.got >= k.least-short && q.got > 0 && k.least < k.need-short &&
 			(q.fetched || k.fetch == 0) && k.partial > k.late:
 			q.answer(false)
-		case b.now >= q.aim && k.late == 0 && q.waiting > 0 && q.coming() < q.need()-short:
+		case b.now >= q.aim && k.late == 0 && q.waiting > 0 && q.coming() < q.need-short:
 			// What is past its target and needs more sends only takes room from others.
 			q.quit()
 		}
@@ -651,7 +649,7 @@
 	// Guards against sending costly parts round and round: what later ones have overtaken or
 	// was late at two nodes is slow by itself; not at a mute node.
 	if !p.hung && (p.sent <= n.overtaken || p.tries > 1) ||
-		q.waiting > 0 || q.coming() >= q.need()-short {
+		q.waiting > 0 || q.coming() >= q.need-short {
 		return
 	}
 	if at := b.pick(q, p); at < 0 || b.lag(&b.nodes[at]) > better*age {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -171,7 +171,7 @@
 	w := newWorld(t, terms, nodes)
 	dead := 0
 	for range 80 {
-		a := w.ask(0, 4, 0, 1)
+		w.ask(0, 4, 0, 1)
 		w.pass(0.05)
 		for _, a := range w.asks {
 			for i, p := range a.parts {
@@ -182,7 +182,6 @@
 				}
 			}
 		}
-		_ = a
 	}
 	if n := &w.b.nodes[dead]; !n.sick || len(w.probes) == 0 {
 		t.Fatal("a node that answers nothing is not found sick and probed")
@@ -251,11 +250,9 @@
 	for range 4 {
 		w.ask(0, 4, 0) // both holders of shard 0 hold two, and 0.3 s is the limit
 	}
-	q, n := w.b.take(), &w.b.nodes[0]
-	p := q.grow()
-	q.offset = 0
-	n.out += 2
-	if at := w.b.pick(q, p); at == 0 {
+	p := w.b.take().grow()
+	w.b.nodes[0].out += 2
+	if at := w.b.pick(p.q, p); at == 0 {
 		t.Fatal("a part goes to a holder that needs 0.4 s for what it holds")
 	}
 }
@@ -267,11 +264,9 @@
 	for range 3 {
 		w.b.launch(w.b.take().grow(), 4) // the near one is busier
 	}
-	q := w.b.take()
-	p := q.grow()
-	p.node = 0
-	q.offset = 1 // where the part was, which is out of the question now
-	if at := w.b.pick(q, p); at != 4 {
+	p := w.b.take().grow()
+	p.node, p.q.offset = 0, 1 // where the part was, which is out of the question now
+	if at := w.b.pick(p.q, p); at != 4 {
 		t.Fatalf("the part goes to node %d, from which nothing may come either", at)
 	}
 }
@@ -300,10 +295,8 @@
 	terms, nodes := plainTerms()
 	terms.Brokers = 50
 	w := newWorld(t, terms, nodes)
-	a := w.ask(0, 4, 0)
-	w.reply(a, 0, Dropped)
-	w.pass(0.05)
-	w.reply(a, 0, OK)
+	w.reply(w.ask(0, 4, 0), 0, Dropped)
+	w.reply(w.asks[0], 0, OK)
 	w.pass(0.5)
 	for i := range w.b.nodes {
 		if w.b.nodes[i].sick {
@@ -349,10 +342,9 @@
 		w.b.blame(&w.b.nodes[10+s], 1)
 	}
 	w.pass(0.3)
-	q := w.b.take()
-	p := q.grow()
-	p.shard, q.offset = 9, 1
-	if at := w.b.pick(q, p); at != 9 {
+	p := w.b.take().grow()
+	p.shard, p.q.offset = 9, 1
+	if at := w.b.pick(p.q, p); at != 9 {
 		t.Fatalf("a part goes to node %d of a zone whose parts all failed", at)
 	}
 }
@@ -369,6 +361,27 @@
 	})
 }
 
+func TestSmallBrokersFeedColdNodesByLot(t *testing.T) {
+	terms, nodes := plainTerms()
+	terms.Brokers = 100
+	sends, room := 0, 0.0
+	for seed := range 100 { // every broker of the fleet, each with a share of under one part
+		terms.Seed = uint64(seed)
+		w := newWorld(t, terms, nodes)
+		nodes[0].Started = w.now
+		w.turn(func() { w.b.List(false, nodes[:1]) })
+		w.b.judgeAt, w.b.bear = math.Inf(1), 0.01
+		room = 100 * w.b.fallBy * w.b.coldFrom * w.b.bear
+		if w.b.open(&w.b.nodes[0], 0.05, false) {
+			sends++
+		}
+		nodes[0].Started = 0
+	}
+	if work := 0.05 * float64(sends); sends == 0 || work > room {
+		t.Fatalf("%g s of work sent to a cold node by all, there is room for %g", work, room)
+	}
+}
+
 func TestTokenedPartPastItsWindowEndsItsSearch(t *testing.T) {
 	terms, nodes := plainTerms()
 	terms.Types[0].Effect, terms.Types[0].Window = Tokened, 0.3
@@ -422,14 +435,11 @@
 }
 
 // quiet is a host that only counts answers.
-type quiet struct{ answers int }
+type quiet struct {
+	*world
+	answers int
+}
 
 func (h *quiet) Send(*Search, int, int, float64) {}
-func (h *quiet) Cancel(*Search, int, int)        {}
 func (h *quiet) Answer(*Search, bool)            { h.answers++ }
-func (h *quiet) Shed(*Search, float64)           {}
-func (h *quiet) Error(*Search)                   {}
-func (h *quiet) Probe(int)                       {}
-func (h *quiet) Renew(int)                       {}
-func (h *quiet) Watch()                          {}
 func (h *quiet) Wake(float64)                    {}
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -25,13 +25,8 @@
 	taken    []float64
 	further  []float64
 	probes   []int
-	watches  int
-	renewed  int
-	sends    int
-	cancels  int
-	answered int
-	shed     int
-	errored  int
+
+	watches, renewed, sends, cancels, answered, shed, errored int
 }
 
 type ask struct {
--- a/balance/state.go
+++ b/balance/state.go
@@ -157,7 +157,8 @@
 	value             float64
 	offset            int
 	parts             []*part
-	first             int // where the current step's parts begin
+	first             int     // where the current step's parts begin
+	need              float64 // share of the current step's weight that answers it
 	got, lost         float64
 	waiting, flying   int // parts unsent; sub-requests out
 	begun, ended      bool
@@ -198,6 +199,8 @@
 	sick       bool
 	trial      bool
 	retryAt    float64
+	luck       float64 // drawn anew each fall window while the node is cold
+	luckAt     float64
 	pause      float64
 	probing    bool
 	sent       tally
