Spare parts wait from 0.1 of the target on; what is known of a node lasts up to 20 s

The rate of outcomes is a plain mean at first: a start passed for silence, which made small fleets remember for 20 s.

May hurt where reply times are random and nodes idle, as a search then asks for no more than it needs at 0.1 of its target.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,11 +33,11 @@
 	short    = 5e-5 // what sums of weights may fall short of by rounding
 	crowd    = 3.0  // the cap stays above so many parts a node by all brokers, and one whole search
 	capGain  = 0.5  // by how much a cap's worth of parts in time raises it again
-	thrift   = 0.15 // expected share of the target used from which spare parts wait
+	thrift   = 0.1  // expected share of the target used from which spare parts wait
 	narrow   = 0.6  // weight of the part that decides, which may be one node's trouble
 	unseen   = 0.08 // share of the target that a part's work is taken for at first
 
-	memory, longest               = 1.0, 10.0         // but in so many seconds at least, and at most
+	memory, longest               = 1.0, 20.0         // but in so many seconds at least, and at most
 	firstRest, lastRest           = 0.5, 4.0          // seconds before a sick node is asked again
 	own, ownFew, ownOver          = 0.2, 10.0, 10.0   // budget where none is stated: share, few, seconds
 	saved, few                    = 2.0, 3.0          // seconds of its share, or searches, a dealer may save up
@@ -535,7 +535,8 @@
 	b.slack += slackBack * (1 - b.slack)
 	b.scratch = b.scratch[:0]
 	done, warm, active, sick := 0.0, 0, 0, 0
-	b.rate += learnRate * (b.outcomes/judging/float64(max(b.active, 1)) - b.rate)
+	b.judged = min(b.judged+1, 1/learnRate) // a mean at first, so that a start does not pass for silence
+	b.rate += (b.outcomes/judging/float64(max(b.active, 1)) - b.rate) / b.judged
 	b.outcomes, b.memory = 0, min(max(replies/b.rate, memory), longest)
 	keep := math.Exp2(-judging / (recall * b.memory))
 	b.calm = 1
