Shedding expects the rounds that a search needs through the cap

The expected wait now counts the rounds, so such a search is shed before it costs anything. Covers any low cap; may shed too much where parts of a round overlap.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -449,6 +449,7 @@
 	shift := shedTilt * math.Log(rate/b.worth+1e-9)
 	from, full := b.slack*max(shedFrom+shift, shedLeast), b.slack*max(shedFull+shift, 2*shedLeast)
 	// The shortest target measures the strain for all: else types with long ones would take the room.
+	wait *= max(1, (float64(b.flying)+float64(len(q.parts)))/b.cap) // in so many rounds through the cap
 	used := (b.now - q.born + wait) / b.tight
 	if k.fetch > 0 {
 		wait *= 2
