--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -22,7 +22,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		terms, _ := plainTerms()
 		terms.Seed = rapid.Uint64().Draw(rt, "seed")
-		terms.Cells = rapid.IntRange(2, 5).Draw(rt, "cells")
+		terms.Cells = rapid.SampledFrom([]int{2, 3, 5, 100}).Draw(rt, "cells")
 		terms.Shards = 2 * terms.Cells
 		terms.Reach = rapid.IntRange(1, 2).Draw(rt, "reach")
 		terms.PerCall = rapid.IntRange(1, 4).Draw(rt, "per call")
@@ -77,15 +77,9 @@
 				w.pass(rapid.Float64Range(0.001, 0.6).Draw(rt, "pass"))
 			case 8:
 				i := rapid.IntRange(0, len(nodes)-1).Draw(rt, "node")
-				switch rapid.IntRange(0, 3).Draw(rt, "change") {
-				case 0:
-					nodes[i].Standing = Draining
-				case 1:
-					nodes[i].Standing = Gone
-				case 2:
-					nodes[i].Standing, nodes[i].Started = Active, w.now
-				default:
-					nodes[i].Standing = Active
+				nodes[i].Standing = rapid.SampledFrom([]Standing{Active, Draining, Gone}).Draw(rt, "standing")
+				if nodes[i].Standing == Active && rapid.Bool().Draw(rt, "started anew") {
+					nodes[i].Started = w.now
 				}
 				w.turn(func() { w.b.List(false, nodes[i:i+1]) })
 			default:
@@ -128,8 +122,7 @@
 }
 
 func TestHungPartsLeaveTheCapAndGoElsewhere(t *testing.T) {
-	terms, nodes := plainTerms()
-	w := newWorld(t, terms, nodes)
+	w := plain(t, 4)
 	w.b.cap = 2
 	a := w.ask(0, 4, 0, 1)
 	b := w.ask(0, 4, 2, 3)
@@ -152,8 +145,7 @@
 }
 
 func TestOneCostlyPartDoesNotMarkItsNodeLate(t *testing.T) {
-	terms, nodes := plainTerms()
-	w := newWorld(t, terms, nodes[:2]) // one holder each
+	w := plain(t, 2) // one holder each
 	a := w.ask(0, 4, 0)
 	w.pass(0.01)
 	b := w.ask(0, 4, 0) // sent later, answered first
@@ -167,8 +159,7 @@
 }
 
 func TestSilentNodeIsLeftProbedAndTakenBackCold(t *testing.T) {
-	terms, nodes := plainTerms()
-	w := newWorld(t, terms, nodes)
+	w := plain(t, 4)
 	dead := 0
 	for range 80 {
 		w.ask(0, 4, 0, 1)
@@ -183,26 +174,24 @@
 			}
 		}
 	}
-	if n := &w.b.nodes[dead]; !n.sick || len(w.probes) == 0 {
+	n, before := &w.b.nodes[dead], len(w.sent[dead])
+	if !n.sick || len(w.probes) == 0 {
 		t.Fatal("a node that answers nothing is not found sick and probed")
 	}
-	before := len(w.sent[dead])
 	w.turn(func() { w.b.Probed(dead, true) })
 	for range 20 {
 		a := w.ask(0, 4, 0)
-		w.pass(0.05)
-		if a.parts[0].out {
+		if w.pass(0.05); a.parts[0].out {
 			w.reply(a, 0, OK)
 		}
 	}
-	if n := &w.b.nodes[dead]; len(w.sent[dead]) == before || n.sick || n.started < 0 {
+	if len(w.sent[dead]) == before || n.sick || n.started < 0 {
 		t.Fatal("a node that answers again is not taken back as a cold one")
 	}
 }
 
 func TestShortOfTimeIsEndedInItsOwnTurn(t *testing.T) {
-	terms, nodes := plainTerms()
-	w := newWorld(t, terms, nodes)
+	w := plain(t, 4)
 	w.b.cap = 0 // no room, so the line does not move
 	w.ask(0, 4, 0)
 	if a := w.ask(0, 0.011, 0); !a.ended {
@@ -211,8 +200,7 @@
 }
 
 func TestRepeatKeepsItsFirstTarget(t *testing.T) {
-	terms, nodes := plainTerms()
-	w := newWorld(t, terms, nodes)
+	w := plain(t, 4)
 	w.ask(0, 4, 0) // target 1 s, time-out 4 s
 	if q := w.ask(0, 3.4, 0).q; math.Abs(q.aim-w.now-0.4) > 1e-9 {
 		t.Fatalf("a client 0.6 s into its time has %.2f s to the target, want 0.4", q.aim-w.now)
@@ -223,8 +211,7 @@
 }
 
 func TestNodeThatFailsFastDrawsNoMore(t *testing.T) {
-	terms, nodes := plainTerms()
-	w := newWorld(t, terms, nodes)
+	w := plain(t, 4)
 	for range 20 {
 		a := w.ask(0, 4, 0)
 		for a.parts[0].out {
@@ -242,8 +229,7 @@
 }
 
 func TestHotNodeIsLeftForItsOtherHolder(t *testing.T) {
-	terms, nodes := plainTerms()
-	w := newWorld(t, terms, nodes)
+	w := plain(t, 4)
 	for i := range w.b.nodes {
 		w.b.nodes[i].pace = 0.1
 	}
@@ -273,8 +259,7 @@
 
 func TestOverduePartsStayWhereRepliesAreOftenSlow(t *testing.T) {
 	for _, slow := range []bool{false, true} {
-		terms, nodes := plainTerms()
-		w := newWorld(t, terms, nodes)
+		w := plain(t, 4)
 		for i := range 40 {
 			a := w.ask(0, 4, i%4)
 			if w.pass(0.05); slow && i%2 == 0 {
@@ -304,22 +289,18 @@
 
 func TestConnectionsAreRenewedWhereUnusedOnesLosePartsOnly(t *testing.T) {
 	for _, lossy := range []bool{false, true} {
-		terms, nodes := plainTerms()
-		w := newWorld(t, terms, nodes)
+		w := plain(t, 2)
 		for range 40 {
 			renewed := w.renewed
 			a := w.ask(0, 4, 0)
-			w.pass(0.05)
-			if lossy && a.parts[0].tries == 1 && w.renewed == renewed {
-				w.pass(0.6)
-			}
-			if a.parts[0].cancelled {
-				w.reply(a, 0, Cancelled)
-			}
-			if a.parts[0].out {
+			if w.pass(0.05); !lossy || w.renewed > renewed || len(w.asks) == 1 {
 				w.reply(a, 0, OK)
 			}
 			w.pass(3)
+			if a.parts[0].out {
+				w.reply(a, 0, TimedOut)
+				w.pass(3)
+			}
 		}
 		if (w.renewed > 0) != lossy {
 			t.Fatalf("%d connections renewed, unused ones lose parts: %v", w.renewed, lossy)
@@ -379,8 +360,7 @@
 
 func TestSearchThatNeedsManyRoundsThroughTheCapIsShed(t *testing.T) {
 	for _, room := range []float64{1, 100} {
-		terms, nodes := plainTerms()
-		w := newWorld(t, terms, nodes)
+		w := plain(t, 4)
 		w.b.cap, w.b.kinds[0].work = room, 0.3
 		if w.ask(0, 4, 0, 1, 2, 3); (w.shed == 1) != (room == 1) {
 			t.Fatalf("%d shed of one search of four parts, 0.3 s each, under a cap of %g", w.shed, room)
@@ -402,8 +382,7 @@
 }
 
 func TestOwnStallIsNotSlownessOfNodes(t *testing.T) {
-	terms, nodes := plainTerms()
-	w := newWorld(t, terms, nodes)
+	w := plain(t, 4)
 	a := w.ask(0, 4, 0, 1)
 	w.now += 0.9 // no turn, though wakes were asked for
 	w.reply(a, 0, OK)
@@ -413,8 +392,7 @@
 }
 
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
-	terms, nodes := plainTerms()
-	w := newWorld(t, terms, nodes)
+	w := plain(t, 4)
 	h := quiet{}
 	w.b.host = &h
 	search := func() {
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -15,7 +15,7 @@
 	terms          Terms
 	b              *Broker
 	now            float64
-	wakes          []float64
+	wakeAt         float64
 	nodes          []Listed
 	work           float64 // of every part, in seconds
 	capacity       float64 // work that this broker may see a node answer in a fall window
@@ -70,6 +70,11 @@
 	return t, nodes
 }
 
+func plain(t testing.TB, few int) *world {
+	terms, nodes := plainTerms()
+	return newWorld(t, terms, nodes[:few])
+}
+
 func (w *world) fail(format string, args ...any) {
 	w.t.Helper()
 	text := fmt.Sprintf("at %.3f: ", w.now) + fmt.Sprintf(format, args...)
@@ -92,26 +97,13 @@
 
 // pass lets time go on, with a turn at each wake.
 func (w *world) pass(dt float64) {
-	end := w.now + dt
-	for {
-		next := math.Inf(1)
-		for _, at := range w.wakes {
-			next = min(next, at)
-		}
-		if next > end {
-			break
-		}
-		w.now = max(w.now, next)
-		kept := w.wakes[:0]
-		for _, at := range w.wakes {
-			if at > w.now {
-				kept = append(kept, at)
-			}
+	for end := w.now + dt; ; w.turn(func() {}) {
+		if w.wakeAt > end {
+			w.now = end
+			return
 		}
-		w.wakes = kept
-		w.turn(func() {})
+		w.now, w.wakeAt = max(w.now, w.wakeAt), math.Inf(1)
 	}
-	w.now = end
 }
 
 func (w *world) ask(kind int, left float64, shards ...int) *ask {
@@ -273,4 +265,4 @@
 func (w *world) Probe(node int)  { w.probes = append(w.probes, node) }
 func (w *world) Renew(node int)  { w.renewed++ }
 func (w *world) Watch()          { w.watches++ }
-func (w *world) Wake(at float64) { w.wakes = append(w.wakes, at) }
+func (w *world) Wake(at float64) { w.wakeAt = at }
