--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,7 +29,7 @@
 	still    = 1.0  // seconds unused after which a connection may have been dropped unseen
 	judging  = 0.25 // seconds between judgements of the nodes
 	spread   = 1.0  // deviations that sends to cold nodes by lot keep clear of their limit
-	headroom = 2.0  // the capacity of a cold node over what warm ones bear on average
+	headroom = 2.5  // the capacity of a cold node over what warm ones bear on average
 	short    = 5e-5 // what sums of weights may fall short of by rounding
 	crowd    = 3.0  // the cap stays above so many parts a node by all brokers, and one whole search
 	capGain  = 0.5  // by how much a cap's worth of parts in time raises it again
