With no capacity known, a cold node gets one part a window of all brokers together

The lot now covers that case, with a floor of one expected part a window of all. A test adds up the parts of a hundred brokers. Covers brokers that have just started beside cold nodes; a fleet that is cold as a whole is fed slowly, as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -394,21 +394,21 @@
 		return false
 	}
 	// Guards against pushing over a node that has just started: all work sent in a fall window
-	// counts, the others are taken to send as we do; with no warm node to tell, one part a window.
+	// counts, and the others are taken to send as we do.
 	age := b.now - n.started
 	if n.started < 0 || age >= b.cold {
 		return true
 	}
 	sent, room := n.sent.since(b.now-b.fall), b.fallBy*(b.coldFrom+(1-b.coldFrom)*max(age, 0)/b.cold)*b.bear
-	if sent > 0 || room >= work || b.bear == 0 {
-		return sent+work <= room || sent+b.bear == 0
+	if sent > 0 || room >= work {
+		return sent+work <= room
 	}
-	// A small broker's room is under one part, that of all is not: each sends its one by lot, so
-	// seldom that chance rarely brings more of them than there is room for. Guards against starving.
+	// Guards against starving: a small broker's room is under one part, that of all is not. Each
+	// sends its one by lot, so seldom that there is room for all; one a window of all at the least.
 	if b.now >= n.luckAt {
 		n.luckAt, n.luck = b.now+b.fall, b.rand.next()
 	}
-	root := (math.Sqrt(spread*spread+4*b.brokers*room/work) - spread) / 2
+	root := max((math.Sqrt(spread*spread+4*b.brokers*room/work)-spread)/2, 1)
 	return n.luck*b.brokers < root*root
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -340,21 +340,22 @@
 func TestSmallBrokersFeedColdNodesByLot(t *testing.T) {
 	terms, nodes := plainTerms()
 	terms.Brokers = 100
-	sent, room := 0.0, 0.0
-	for seed := range 100 { // every broker of the fleet, each with a share of under one part
-		terms.Seed = uint64(seed)
-		w := newWorld(t, terms, nodes)
-		nodes[0].Started = w.now
-		w.turn(func() { w.b.List(false, nodes[:1]) })
-		w.b.judgeAt, w.b.bear = math.Inf(1), 0.01
-		room = 100 * w.b.fallBy * w.b.coldFrom * w.b.bear
-		if w.b.open(&w.b.nodes[0], 0.05, false) {
-			sent += 0.05
+	for _, bear := range []float64{0, 0.01} { // what a warm node bears; 0 where there is none to tell
+		sent, room := 0.0, 0.0
+		for seed := range 100 { // every broker of the fleet, each with a share of under one part
+			terms.Seed, nodes[0].Started = uint64(seed), 0
+			w := newWorld(t, terms, nodes)
+			nodes[0].Started = w.now
+			w.turn(func() { w.b.List(false, nodes[:1]) })
+			w.b.judgeAt, w.b.bear = math.Inf(1), bear
+			room = max(100*w.b.fallBy*w.b.coldFrom*bear, 4*0.05)
+			if w.b.open(&w.b.nodes[0], 0.05, false) {
+				sent += 0.05
+			}
+		}
+		if sent == 0 && bear > 0 || sent > room {
+			t.Fatalf("%g s of work sent to a cold node by all, there is room for %g", sent, room)
 		}
-		nodes[0].Started = 0
-	}
-	if sent == 0 || sent > room {
-		t.Fatalf("%g s of work sent to a cold node by all, there is room for %g", sent, room)
 	}
 }
 
