--- /dev/null
+++ b/cmd/brackenfront/counters.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/internal/routing"
+	"brackenfront/internal/transport/clients"
+	"brackenfront/internal/transport/nodes"
+	"brackenfront/internal/transport/watch"
+)
+
+// report prints the counters, on request and at the end.
+func report(log *logrus.Logger, r *routing.Router, t *routing.Tripper, f *nodes.Fleet, s *clients.Server,
+	w *watch.Watch) {
+	c, n, l, d := r.Counts(), f.Counts(), s.Counts(), w.Counts()
+	log.WithFields(logrus.Fields{"taken": c.Taken, "answered": c.Answered, "partial": c.Partial, "shed": c.Shed,
+		"errored": c.Errored, "gone": c.Gone, "inhand": c.InHand, "full": c.Full, "twice": c.Twice,
+		"refetched": c.Refetched, "bad": t.Bad()}).Info("counters: searches")
+	log.WithFields(logrus.Fields{"sent": c.Sent, "ok": c.Outcomes[0], "error": c.Outcomes[1], "overload": c.Outcomes[2],
+		"timeout": c.Outcomes[3], "unreached": c.Outcomes[4], "reset": c.Outcomes[5], "cancelled": c.Outcomes[6],
+		"moot": c.Outcomes[7], "out": c.Out, "late": c.Late}).Info("counters: sub-requests")
+	log.WithFields(logrus.Fields{"dialled": n.Dialled, "closed": n.Closed, "written": n.Parts, "givenup": n.Given,
+		"replies": n.Replies, "strays": n.Strays, "probes": n.Probes, "bytesout": n.BytesOut, "bytesin": n.BytesIn,
+		"codes": n.Codes, "turns": c.Turns, "calls": c.Calls}).Info("counters: nodes")
+	log.WithFields(logrus.Fields{"accepted": l.Accepted, "closed": l.Closed, "peak": l.Peak, "codes": l.Codes}).
+		Info("counters: clients")
+	log.WithFields(logrus.Fields{"watches": d.Watches, "words": d.Words, "entries": d.Entries, "broken": d.Broken,
+		"lists": c.Lists}).Info("counters: discovery")
+}
--- /dev/null
+++ b/cmd/brackenfront/main.go
@@ -0,0 +1,127 @@
+// Command brackenfront is the query router on sockets: one broker before the nodes.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/internal/protocol"
+	"brackenfront/internal/routing"
+	"brackenfront/internal/transport/clients"
+	"brackenfront/internal/transport/nodes"
+	"brackenfront/internal/transport/watch"
+)
+
+// late is how long new connections may go on coming after SIGTERM, by the protocol's page.
+const late = 700 * time.Millisecond
+
+// spare is the share of the memory limit left to what the Go runtime does not count.
+const spare = 0.125
+
+func main() {
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
+		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	if err := run(log); err != nil {
+		log.WithError(err).Error("brackenfront ends")
+		os.Exit(1)
+	}
+}
+
+func run(log *logrus.Logger) error {
+	boot, err := configure()
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(float64(boot.Memory) * (1 - spare)))
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(boot.Cores))))
+
+	fleet := nodes.NewFleet(nodes.Limits{Streams: boot.Streams, Connect: boot.Connect, Idle: boot.Idle,
+		Longest: boot.Longest}, log)
+	router, err := routing.New(boot.Deployment, boot.Known, fleet, log)
+	if err != nil {
+		return fmt.Errorf("configuration: field settings: %w", err)
+	}
+	tick := time.Duration(boot.Terms.Tick * float64(time.Second))
+	list := watch.New(boot.Discovery, boot.Known, tick, log, router.Listed, router.Unlisted)
+	if boot.Terms.Asked {
+		router.Follow(list.Start)
+	} else {
+		list.Start()
+	}
+	tripper := router.Tripper()
+	server, err := clients.Listen(boot.Listen, clients.Limits{Request: boot.Longest, Idle: boot.Idle,
+		Most: boot.Sockets - reserve(boot.Sockets), Pause: tick}, tripper, fleet, log)
+	if err != nil {
+		return err
+	}
+
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	served := make(chan error, 1)
+	go router.Run()
+	go func() { served <- server.Serve() }()
+	counters := func() { report(log, router, tripper, fleet, server, list) }
+	log.WithField("name", boot.Name).WithField("listen", server.Addr()).WithField("nodes", len(boot.Known.Hosts)).
+		Info("serving")
+
+	for draining := false; ; {
+		select {
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGUSR1:
+				counters()
+			case draining:
+				return errors.New("a second signal came while draining")
+			default:
+				draining = true
+				log.WithField("signal", s.String()).Info("draining")
+				go func() {
+					ctx, cancel := context.WithTimeout(context.Background(), late+boot.Longest)
+					defer cancel()
+					server.Drain(ctx, late)
+					served <- nil
+				}()
+			}
+		case err := <-served:
+			if draining && err == nil {
+				// Serve ends when Drain begins to wait; the end that counts is Drain's own.
+				if err = <-served; err == nil {
+					list.Close()
+					counters()
+					router.Stop()
+					fleet.Close()
+					log.Info("ended")
+				}
+			}
+			return err
+		}
+	}
+}
+
+// reserve is how many descriptors are kept for what is no connection of clients or nodes, and
+// for those that are accepted or dialled while unused ones are being closed.
+func reserve(sockets int) int { return sockets / 8 }
+
+func configure() (*protocol.Boot, error) {
+	path := os.Getenv("ROUTER_CONFIG")
+	if path == "" {
+		return nil, errors.New("configuration: ROUTER_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return protocol.ParseBoot(raw, func(field string) string { return os.Getenv("ROUTER_" + strings.ToUpper(field)) })
+}
--- /dev/null
+++ b/internal/protocol/boot.go
@@ -0,0 +1,76 @@
+// Package protocol turns bytes into values and back: configuration, discovery's lists, searches and
+// answers, and the frames that nodes speak. It holds no socket and decides nothing.
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+)
+
+// Boot is what a broker is told at its start.
+type Boot struct {
+	Name, Listen, Discovery string
+	Cores                   float64
+	Memory                  int64 // bytes
+	Sockets                 int
+	Known                   Listing
+	*Deployment
+}
+
+// ParseBoot reads the configuration; fallback names what stands in the environment for fields
+// that it lacks. The error names the field at fault.
+func ParseBoot(raw []byte, fallback func(field string) string) (*Boot, error) {
+	var c struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        *struct {
+			Cores    float64
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(raw, &c); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	for field, v := range map[string]*string{"name": &c.Name, "listen": &c.Listen, "discovery": &c.Discovery} {
+		if *v == "" {
+			*v = fallback(field)
+		}
+	}
+	missing := func(field string) error { return fmt.Errorf("configuration: field %s: missing", field) }
+	wrong := func(field string, err error) error { return fmt.Errorf("configuration: field %s: %w", field, err) }
+	switch {
+	case c.Name == "":
+		return nil, missing("name")
+	case c.Listen == "":
+		return nil, missing("listen")
+	case c.Discovery == "":
+		return nil, missing("discovery")
+	case c.Limits == nil:
+		return nil, missing("limits")
+	case c.Limits.Cores <= 0 || c.Limits.MemoryMB <= 0 || c.Limits.Sockets <= 0:
+		return nil, wrong("limits", fmt.Errorf("cores, memory_mb and sockets must be above 0"))
+	case len(c.Known) == 0:
+		return nil, missing("known")
+	case len(c.Settings) == 0:
+		return nil, missing("settings")
+	}
+	seed, err := strconv.ParseUint(c.Seed, 16, 64)
+	if err != nil {
+		return nil, wrong("seed", fmt.Errorf("expected up to 16 hex digits, got %q", c.Seed))
+	}
+	b := &Boot{Name: c.Name, Listen: c.Listen, Discovery: c.Discovery, Cores: c.Limits.Cores,
+		Memory: int64(c.Limits.MemoryMB * (1 << 20)), Sockets: c.Limits.Sockets}
+	if b.Known, err = ParseListing(c.Known); err != nil {
+		return nil, wrong("known", err)
+	}
+	if b.Deployment, err = ParseSettings(c.Settings, seed); err == nil {
+		err = b.limits()
+	}
+	if err != nil {
+		return nil, wrong("settings", err)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/protocol/frame.go
@@ -0,0 +1,128 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"strconv"
+	"unicode/utf8"
+
+	"brackenfront/balance"
+)
+
+// Letters of frames.
+const (
+	Call, GiveUp, Probe, Load, Reply, Refusal = 'A', 'B', 'C', 'D', 'E', 'F'
+)
+
+// maxFrame bounds what a node may announce: a value that fits an answer's body, and its line.
+const maxFrame = MaxBody + 4096
+
+// Asked is one part as it stands in a call.
+type Asked struct {
+	ID    string
+	Shard int
+	Wait  float64 // seconds that the broker will wait
+	Extra string  // what its list holds besides
+	Text  string
+}
+
+// AppendCall writes one call.
+func AppendCall(b []byte, parts []Asked) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0, Call)
+	for _, p := range parts {
+		b = append(b, p.ID...)
+		b = strconv.AppendInt(append(b, ' '), int64(p.Shard), 10)
+		b = strconv.AppendInt(append(b, " d="...), max(int64(p.Wait/ms), 1), 10)
+		b = append(b, p.Extra...)
+		b = strconv.AppendInt(append(b, ' '), int64(len(p.Text)), 10)
+		b = append(append(b, '\n'), p.Text...)
+	}
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b
+}
+
+// AppendGiveUp writes that a part is given up.
+func AppendGiveUp(b []byte, id string) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(1+len(id)))
+	return append(append(b, GiveUp), id...)
+}
+
+// AppendProbe writes a probe.
+func AppendProbe(b []byte) []byte { return append(binary.BigEndian.AppendUint32(b, 1), Probe) }
+
+// ReadFrame reads one frame; the bytes are the caller's to keep. io.EOF means that the other
+// side ended between frames.
+func ReadFrame(r io.Reader) (letter byte, rest []byte, err error) {
+	var head [5]byte
+	if _, err = io.ReadFull(r, head[:1]); err != nil {
+		return 0, nil, err
+	}
+	if _, err = io.ReadFull(r, head[1:]); err != nil {
+		return 0, nil, cut(err)
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n < 1 || n > maxFrame {
+		return 0, nil, &BadFrame{fmt.Sprintf("a length of %d, expected 1 to %d", n, maxFrame)}
+	}
+	rest = make([]byte, n-1)
+	if _, err = io.ReadFull(r, rest); err != nil {
+		return 0, nil, cut(err)
+	}
+	return head[4], rest, nil
+}
+
+func cut(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// BadFrame says what of a frame could not be used.
+type BadFrame struct{ What string }
+
+func (e *BadFrame) Error() string { return "frame: " + e.What }
+
+// Ended is what a node says of one part.
+type Ended struct {
+	ID    string
+	How   balance.Outcome
+	Score float64
+	Value []byte
+}
+
+var ends = map[string]balance.Outcome{"hit": balance.OK, "fault": balance.Errored, "overload": balance.Full}
+
+// ParseReply reads the rest of a reply's frame.
+func ParseReply(rest []byte) (e Ended, err error) {
+	line, value, ok := bytes.Cut(rest, []byte{'\n'})
+	f := bytes.Split(line, []byte{' '})
+	if !ok || len(f) != 4 {
+		return e, &BadFrame{"a reply without a line of ID END SCORE REPORT"}
+	}
+	if e.How, ok = ends[string(f[1])]; !ok {
+		return e, &BadFrame{fmt.Sprintf("a reply that ended %.20q, expected hit, fault or overload", f[1])}
+	}
+	if e.Score, err = strconv.ParseFloat(string(f[2]), 64); err != nil && e.How == balance.OK {
+		return e, &BadFrame{fmt.Sprintf("a reply's score %.20q, expected a number", f[2])}
+	}
+	e.ID, e.Value = string(f[0]), value
+	if e.How == balance.OK && !utf8.Valid(value) {
+		return e, &BadFrame{"a value that is no text"} // it cannot stand in an answer as it came
+	}
+	return e, nil
+}
+
+// ParseProbe reads the rest of a probe's answer.
+func ParseProbe(rest []byte) (ok bool, err error) {
+	switch string(rest) {
+	case "hit":
+		return true, nil
+	case "fault":
+		return false, nil
+	}
+	return false, &BadFrame{fmt.Sprintf("a probe answered %.20q, expected hit or fault", rest)}
+}
--- /dev/null
+++ b/internal/routing/host.go
@@ -0,0 +1,111 @@
+package routing
+
+import (
+	"strconv"
+	"time"
+
+	"brackenfront/balance"
+	"brackenfront/internal/protocol"
+	"brackenfront/internal/transport/nodes"
+)
+
+var _ balance.Host = (*Router)(nil)
+
+// Send and the calls below are balance.Host; they come from inside the broker's calls.
+func (r *Router) Send(q *balance.Search, part, node int, tryFor float64) {
+	ex := r.places[q.Place()]
+	p := ex.pieces[part]
+	until := ex.until
+	if tryFor > 0 {
+		if t := r.turn.Add(time.Duration(tryFor * float64(time.Second))); t.Before(until) {
+			until = t
+		}
+	}
+	id := ex.search.ID + "." + strconv.Itoa(p.shard)
+	extra := ""
+	if part >= len(ex.search.Parts) {
+		id, extra = id+".load", ex.extra
+	}
+	p.sub = &nodes.Part{ID: id, Shard: p.shard, Extra: extra, Text: ex.search.Text, Until: until, Owner: ex,
+		At: part, Try: q.Tries(part)}
+	p.sent, p.place = r.now, len(r.out)
+	r.out = append(r.out, p)
+	r.count.Sent++
+	r.count.Out++
+	if len(r.batches[node]) == 0 {
+		r.touched = append(r.touched, node)
+	}
+	r.batches[node] = append(r.batches[node], p.sub)
+}
+
+func (r *Router) Cancel(q *balance.Search, part, try int) {
+	ex := r.places[q.Place()]
+	p := ex.pieces[part]
+	if p.sub == nil || p.sub.Try != try+1 {
+		return
+	}
+	sub := p.sub
+	r.fleet.GiveUp(sub)
+	r.later = append(r.later, func() {
+		if p.sub == sub {
+			r.land(p, balance.Cancelled)
+		}
+	})
+}
+
+func (r *Router) Answer(q *balance.Search, whole bool) {
+	ex := r.places[q.Place()]
+	fetch := r.d.Terms.Types[ex.search.Kind].Fetch
+	if fetch > 0 && ex.first == 0 {
+		var shards []int
+		shards, ex.extra = ex.second(fetch, whole)
+		ex.first = len(ex.pieces)
+		r.count.Refetched++
+		r.later = append(r.later, func() { r.fetch(ex, shards) })
+		return
+	}
+	r.count.Answered++
+	if !whole {
+		r.count.Partial++
+	}
+	r.final(ex, verdict{how: answered, body: protocol.AppendAnswer(nil, whole, ex.found())})
+}
+
+// fetch brings the parts of a second step, each with the same weight.
+func (r *Router) fetch(ex *Exchange, shards []int) {
+	if ex.ended {
+		return
+	}
+	for _, s := range shards {
+		if ex.q.Part(s, 1/float64(len(shards))) >= 0 {
+			ex.add(s)
+			r.open++
+		}
+	}
+}
+
+func (r *Router) Shed(q *balance.Search, after float64) {
+	r.count.Shed++
+	r.final(r.places[q.Place()], verdict{how: shed, after: after})
+}
+
+func (r *Router) Error(q *balance.Search) {
+	r.count.Errored++
+	r.final(r.places[q.Place()], verdict{how: errored})
+}
+
+func (r *Router) final(ex *Exchange, v verdict) {
+	r.end(ex)
+	ex.done <- v
+}
+
+func (r *Router) Probe(node int) {
+	r.count.Probed++
+	r.fleet.Probe(r.addrs[node], func(ok bool) { r.post(func() { r.broker.Probed(node, ok) }) })
+}
+
+func (r *Router) Renew(node int) { r.fleet.Renew(r.addrs[node]) }
+
+func (r *Router) Watch() { r.follow() }
+
+func (r *Router) Wake(at float64) { r.wakeAt = at }
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,301 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/balance"
+	"brackenfront/internal/protocol"
+	"brackenfront/internal/transport/nodes"
+)
+
+// Router owns the broker: one goroutine takes in what happened, closes the turn, and hands out
+// what the broker asked for. It waits for nothing but its queue and its clock.
+type Router struct {
+	d      *protocol.Deployment
+	fleet  *nodes.Fleet
+	log    *logrus.Logger
+	follow func() // starts the watch where the list has to be asked for
+	calls  chan func()
+	halt   chan struct{}
+	ended  chan struct{}
+	start  time.Time
+	epoch  float64 // the module's clock is Unix time in seconds, running on monotonically
+
+	broker  *balance.Broker
+	now     float64
+	turn    time.Time
+	wakeAt  float64
+	timer   *time.Timer
+	zones   map[string]int
+	nodes   map[string]int
+	addrs   []string
+	names   []string
+	places  []*Exchange
+	ids     map[string]*Exchange
+	out     []*piece
+	batches [][]*nodes.Part // by node: what is sent in this turn
+	touched []int
+	later   []func() // what the module may not be called with from inside its own calls
+	open    int      // searches and parts in hand
+	count   Counts
+}
+
+// Counts are sums since the start. Taken is answered, shed, errored, gone and in hand together;
+// sent is the sum of the outcomes and what is out.
+type Counts struct {
+	Taken, Answered, Partial, Shed, Errored, Gone, InHand int
+	Full, Twice, Refetched                                int // refused at the door; second steps
+	Sent, Out, Late                                       int
+	Outcomes                                              [8]int
+	Turns, Calls                                          int
+	Probed                                                int
+	Lists                                                 int
+}
+
+// queued bounds what waits for the router: enough that the sockets' goroutines rarely wait, and
+// what waits stays far below the memory that searches in hand take.
+const queued = 1024
+
+// New makes a router for a deployment and its list as last known.
+func New(d *protocol.Deployment, known protocol.Listing, fleet *nodes.Fleet, log *logrus.Logger) (*Router, error) {
+	now := time.Now()
+	r := &Router{d: d, fleet: fleet, log: log, follow: func() {}, calls: make(chan func(), queued),
+		halt: make(chan struct{}), ended: make(chan struct{}), start: now,
+		epoch: float64(now.UnixNano()) / 1e9, zones: map[string]int{d.Zone: 0}, nodes: map[string]int{},
+		ids: map[string]*Exchange{}, timer: time.NewTimer(time.Hour)}
+	var err error
+	if r.broker, err = balance.New(r, d.Terms); err != nil {
+		return nil, err
+	}
+	r.begin()
+	r.list(known)
+	r.finish()
+	return r, nil
+}
+
+// Follow says how to start the watch once the module asks for it.
+func (r *Router) Follow(start func()) { r.follow = start }
+
+// Run takes turns until Stop. A panic in it is meant to end the process: a router that is gone
+// must not leave a program that still takes searches.
+func (r *Router) Run() {
+	defer close(r.ended)
+	for {
+		r.arm()
+		select {
+		case f := <-r.calls:
+			r.begin()
+			f()
+		case <-r.timer.C:
+			r.begin()
+		case <-r.halt:
+			return
+		}
+		for range cap(r.calls) {
+			select {
+			case f := <-r.calls:
+				f()
+				continue
+			default:
+			}
+			break
+		}
+		r.expire()
+		r.finish()
+	}
+}
+
+// Stop ends Run and waits for it.
+func (r *Router) Stop() {
+	close(r.halt)
+	<-r.ended
+}
+
+// post hands a call to the router's goroutine; it tells whether that still runs.
+func (r *Router) post(f func()) bool {
+	select {
+	case r.calls <- f:
+		return true
+	case <-r.ended:
+		return false
+	}
+}
+
+// Listed takes in a word of discovery.
+func (r *Router) Listed(l protocol.Listing) { r.post(func() { r.list(l) }) }
+
+// Unlisted hears that the list could not be had.
+func (r *Router) Unlisted() { r.post(r.broker.Unlisted) }
+
+// Counts gives the sums.
+func (r *Router) Counts() (c Counts) {
+	done := make(chan struct{})
+	if r.post(func() { c = r.count; close(done) }) {
+		select {
+		case <-done:
+			return c
+		case <-r.ended:
+		}
+	} else {
+		<-r.ended
+	}
+	return r.count
+}
+
+func (r *Router) begin() {
+	r.turn = time.Now()
+	r.now = r.epoch + r.turn.Sub(r.start).Seconds()
+	r.count.Turns++
+	r.broker.Begin(r.now)
+}
+
+// finish closes the turn, and further ones for what the module's own wishes brought about.
+func (r *Router) finish() {
+	for {
+		for len(r.later) > 0 {
+			f := r.later[0]
+			r.later = r.later[1:]
+			f()
+		}
+		r.broker.Close()
+		r.flush()
+		if len(r.later) == 0 {
+			return
+		}
+		r.begin()
+	}
+}
+
+// flush hands the turn's sends to the connections, so many parts a call as the deployment allows.
+func (r *Router) flush() {
+	for _, at := range r.touched {
+		parts := r.batches[at]
+		for k := max(r.d.Terms.PerCall, 1); len(parts) > 0; {
+			n := min(k, len(parts))
+			r.fleet.Ask(r.addrs[at], parts[:n])
+			r.count.Calls++
+			parts = parts[n:]
+		}
+		clear(r.batches[at])
+		r.batches[at] = r.batches[at][:0]
+	}
+	r.touched = r.touched[:0]
+}
+
+func (r *Router) arm() {
+	if !r.timer.Stop() {
+		select {
+		case <-r.timer.C:
+		default:
+		}
+	}
+	r.timer.Reset(time.Duration((r.wakeAt - r.clock()) * float64(time.Second)))
+}
+
+func (r *Router) clock() float64 { return r.epoch + time.Since(r.start).Seconds() }
+
+func (r *Router) list(l protocol.Listing) {
+	entries := make([]balance.Listed, 0, len(l.Hosts))
+	for _, h := range l.Hosts {
+		zone, ok := r.zones[h.Zone]
+		if !ok {
+			zone = len(r.zones)
+			r.zones[h.Zone] = zone
+		}
+		at, ok := r.nodes[h.Name]
+		if !ok {
+			at = len(r.addrs)
+			r.nodes[h.Name] = at
+			r.addrs, r.names = append(r.addrs, h.Dial), append(r.names, h.Name)
+			r.batches = append(r.batches, nil)
+		}
+		r.addrs[at] = h.Dial
+		entries = append(entries, balance.Listed{Node: at, Cell: h.Cell, Zone: zone, Standing: h.Standing,
+			Started: h.Born})
+	}
+	r.count.Lists++
+	r.broker.List(l.Whole, entries)
+}
+
+// take takes a search in, or refuses it at the door.
+func (r *Router) take(ex *Exchange) {
+	s := ex.search
+	// More than the deployment lets a broker hold is refused unseen, as its settings say.
+	if r.open+1+len(s.Parts) > r.d.Open {
+		r.count.Full++
+		ex.done <- verdict{how: full}
+		return
+	}
+	if r.ids[s.ID] != nil {
+		r.count.Twice++
+		ex.done <- verdict{how: twice}
+		return
+	}
+	ex.q = r.broker.Take(s.Kind, s.Dealer, max(ex.until.Sub(r.turn).Seconds(), 0))
+	for len(r.places) <= ex.q.Place() {
+		r.places = append(r.places, nil)
+	}
+	r.places[ex.q.Place()], r.ids[s.ID] = ex, ex
+	r.count.Taken++
+	r.count.InHand++
+	for _, p := range s.Parts {
+		if ex.q.Part(p.Shard, p.Weight) >= 0 {
+			ex.add(p.Shard)
+		}
+	}
+	r.open += 1 + len(ex.pieces)
+}
+
+// gone ends a search whose client has left.
+func (r *Router) gone(ex *Exchange) {
+	if ex.q != nil && !ex.ended {
+		r.count.Gone++
+		r.end(ex)
+		ex.q.Gone()
+	}
+}
+
+// end notes that a search has its final answer, or needs none.
+func (r *Router) end(ex *Exchange) {
+	ex.ended = true
+	r.count.InHand--
+	r.open -= 1 + len(ex.pieces)
+	delete(r.ids, ex.search.ID)
+}
+
+// reply takes in how a sub-request ended.
+func (r *Router) reply(ex *Exchange, at, try int, e protocol.Ended) {
+	p := ex.pieces[at]
+	if p.sub == nil || p.sub.Try != try {
+		r.count.Late++ // given up while its end was on the way
+		return
+	}
+	if p.in = e.How == balance.OK && !ex.ended; p.in {
+		p.found = e
+	}
+	r.land(p, e.How)
+}
+
+// land tells the module how a part's sub-request ended.
+func (r *Router) land(p *piece, how balance.Outcome) {
+	last := r.out[len(r.out)-1]
+	r.out[p.place], last.place = last, p.place
+	r.out = r.out[:len(r.out)-1]
+	p.sub = nil
+	r.count.Out--
+	r.count.Outcomes[how]++
+	p.ex.q.Reply(p.at, how, r.now-p.sent)
+}
+
+// expire ends the sub-requests that are waited for no longer.
+func (r *Router) expire() {
+	for i := len(r.out) - 1; i >= 0; i-- {
+		if i < len(r.out) && !r.turn.Before(r.out[i].sub.Until) {
+			p := r.out[i]
+			r.fleet.GiveUp(p.sub)
+			r.land(p, balance.TimedOut)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/tripper.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"brackenfront/internal/protocol"
+)
+
+// Tripper answers requests by way of the router, where a reverse proxy's transport would go to
+// one backend.
+type Tripper struct {
+	r   *Router
+	bad atomic.Int64
+}
+
+// Tripper gives the router's round tripper.
+func (r *Router) Tripper() *Tripper { return &Tripper{r: r} }
+
+// Bad counts the requests that could not be used.
+func (t *Tripper) Bad() int { return int(t.bad.Load()) }
+
+// RoundTrip takes one search from its request to its answer.
+func (t *Tripper) RoundTrip(req *http.Request) (*http.Response, error) {
+	defer req.Body.Close()
+	if req.Method != http.MethodPost {
+		return t.refuse(req, http.StatusMethodNotAllowed, "method: expected POST")
+	}
+	body, err := io.ReadAll(req.Body)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return t.refuse(req, http.StatusRequestEntityTooLarge,
+			fmt.Sprintf("body: expected %d bytes at most", protocol.MaxBody))
+	} else if err != nil {
+		t.bad.Add(1)
+		return nil, err
+	}
+	came := time.Now()
+	s, err := t.r.d.ParseSearch(req.URL.Path, req.Header, body)
+	if err != nil {
+		return t.refuse(req, http.StatusBadRequest, err.Error())
+	}
+	left := time.Duration(min(s.Left, t.r.d.Longest.Seconds()) * float64(time.Second))
+	ex := &Exchange{r: t.r, search: s, came: came, until: came.Add(left), done: make(chan verdict, 1)}
+	if !t.r.post(func() { t.r.take(ex) }) {
+		return reply(req, http.StatusServiceUnavailable, nil), nil
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case v := <-ex.done:
+		return t.answer(req, v), nil
+	case <-req.Context().Done():
+		ex.gone()
+		return nil, req.Context().Err()
+	case <-timer.C:
+		// The module ends every search before this; it only guards against a router held up so long.
+		ex.gone()
+		return reply(req, http.StatusGatewayTimeout, nil), nil
+	}
+}
+
+func (t *Tripper) answer(req *http.Request, v verdict) *http.Response {
+	switch v.how {
+	case answered:
+		return reply(req, http.StatusOK, v.body)
+	case shed, full:
+		res := reply(req, http.StatusServiceUnavailable, nil)
+		if v.after > 0 {
+			res.Header.Set("Retry-After", strconv.FormatFloat(v.after, 'f', 3, 64))
+		}
+		return res
+	case twice:
+		t.bad.Add(1)
+		return reply(req, http.StatusConflict, []byte(`{"error":"X-Trace-Id: expected an id that is not in hand"}`))
+	}
+	return reply(req, http.StatusInternalServerError, nil)
+}
+
+func (t *Tripper) refuse(req *http.Request, code int, what string) (*http.Response, error) {
+	t.bad.Add(1)
+	return reply(req, code, fmt.Appendf(nil, `{"error":%q}`, what)), nil
+}
+
+func reply(req *http.Request, code int, body []byte) *http.Response {
+	h := make(http.Header, 2)
+	if body != nil {
+		h.Set("Content-Type", "application/json")
+	}
+	return &http.Response{StatusCode: code, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: h,
+		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)), Request: req}
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -11,8 +11,11 @@
 	"strconv"
 
 	"brackenfront/balance"
+	"brackenfront/internal/protocol"
 )
 
+const ms = 1e-3
+
 var outcomes = map[int64]balance.Outcome{200: balance.OK, 500: balance.Errored, 503: balance.Full,
 	504: balance.TimedOut, 502: balance.Unreached, 598: balance.Dropped, 499: balance.Cancelled,
 	410: balance.Moot}
@@ -199,19 +202,13 @@
 	if f.err != nil {
 		return nil
 	}
-	t, set, err := parseTerms(config, seed)
+	d, err := protocol.ParseSettings(config, seed)
 	if err != nil {
-		return err
+		return fmt.Errorf("BOOT: field config: %w", err)
 	}
-	h := &host{s: s, inst: inst, zones: map[string]int{set.MyZone: 0}, lanes: map[string]int{}, tenants: map[string]int{},
+	h := &host{s: s, inst: inst, zones: map[string]int{d.Zone: 0}, lanes: d.Kinds, tenants: d.Dealers,
 		nodes: map[string]int{}, held: map[int64]owner{}, queries: map[int64]*balance.Search{}}
-	for i, l := range set.Lanes {
-		h.lanes[l.Name] = i
-	}
-	for i, d := range set.Tenants {
-		h.tenants[d.Name] = i
-	}
-	if h.broker, err = balance.New(h, t); err != nil {
+	if h.broker, err = balance.New(h, d.Terms); err != nil {
 		return fmt.Errorf("BOOT: field config: %w", err)
 	}
 	s.hosts[inst] = h
--- /dev/null
+++ b/internal/transport/clients/listener.go
@@ -0,0 +1,31 @@
+package clients
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// listener accepts while descriptors last, and never spins when they do not.
+type listener struct {
+	net.Listener
+	s *Server
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			// Unused connections go first; without any, the next try waits for some to end.
+			if l.s.shorten(1) == 0 {
+				time.Sleep(l.s.limits.Pause)
+			}
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		return l.s.accepted(c), nil
+	}
+}
--- /dev/null
+++ b/internal/transport/clients/server.go
@@ -0,0 +1,216 @@
+// Package clients serves HTTP to clients: a reverse proxy whose transport is given, a word on
+// health, and an account of every connection.
+package clients
+
+import (
+	"context"
+	"errors"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/internal/protocol"
+)
+
+// Limits bound what clients may hold.
+type Limits struct {
+	Request time.Duration // to read a request, or to write an answer
+	Idle    time.Duration // between requests
+	Most    int           // descriptors that clients and Others hold together
+	Pause   time.Duration // before accepting again when no descriptor can be had
+}
+
+// Others are the connections that share the descriptors.
+type Others interface {
+	Open() int
+	Shorten(most int) int
+}
+
+// Server is the side that clients see.
+type Server struct {
+	limits Limits
+	others Others
+	log    *logrus.Logger
+	http   http.Server
+	ln     net.Listener
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	count Counts
+}
+
+// Counts are sums since the start.
+type Counts struct {
+	Accepted, Closed, Peak int
+	Codes                  map[string]int
+}
+
+// Listen opens the address and makes a server that answers by the given transport.
+func Listen(addr string, l Limits, transport http.RoundTripper, others Others, log *logrus.Logger) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{limits: l, others: others, log: log, ln: ln, conns: map[*conn]struct{}{}}
+	s.count.Codes = map[string]int{}
+	quiet := stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0)
+	proxy := &httputil.ReverseProxy{
+		Transport: transport,
+		Rewrite: func(p *httputil.ProxyRequest) {
+			p.Out.URL.Scheme, p.Out.URL.Host = "http", p.In.Host
+			// Guards against a body that grows without end while it is read.
+			p.Out.Body = http.MaxBytesReader(nil, p.Out.Body, protocol.MaxBody)
+		},
+		ErrorHandler: s.failed,
+		ErrorLog:     quiet,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.Handle("/", proxy)
+	s.http = http.Server{Handler: mux, ReadTimeout: l.Request, IdleTimeout: l.Idle, MaxHeaderBytes: protocol.MaxBody,
+		ConnState: s.state, ErrorLog: quiet,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, key{}, c) }}
+	return s, nil
+}
+
+type key struct{}
+
+// Addr is where it listens.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Serve serves until Close or Drain; any other end is an error.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(&listener{s.ln, s}); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Drain ends the service in good order: at once every connection closes after its request, while
+// new ones are still taken for so long; then it waits for all requests, as long as ctx lasts.
+func (s *Server) Drain(ctx context.Context, accept time.Duration) {
+	s.mu.Lock()
+	for c := range s.conns {
+		c.drainable()
+	}
+	s.mu.Unlock()
+	s.http.SetKeepAlivesEnabled(false)
+	select {
+	case <-time.After(accept):
+	case <-ctx.Done():
+	}
+	if s.http.Shutdown(ctx) != nil {
+		s.http.Close()
+	}
+}
+
+// Counts gives the sums.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.count
+	c.Codes = make(map[string]int, len(s.count.Codes))
+	for k, v := range s.count.Codes {
+		c.Codes[k] = v
+	}
+	return c
+}
+
+// failed is called when a request has no answer: its client is gone, or sent no whole request.
+func (s *Server) failed(w http.ResponseWriter, r *http.Request, err error) {
+	if c, ok := r.Context().Value(key{}).(*conn); ok && r.Context().Err() != nil {
+		c.why("left")
+	}
+	w.WriteHeader(http.StatusBadRequest)
+}
+
+func (s *Server) accepted(sock net.Conn) *conn {
+	c := &conn{Conn: sock, s: s, made: time.Now()}
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.count.Accepted++
+	s.count.Peak = max(s.count.Peak, len(s.conns))
+	n := len(s.conns)
+	s.mu.Unlock()
+	// Guards against running out of descriptors: unused connections go before new ones would fail.
+	if over := n + s.others.Open() - s.limits.Most; over > 0 {
+		s.shorten(over)
+	}
+	return c
+}
+
+// shorten closes up to so many unused connections, those to nodes first, as clients cannot tell
+// a closed one from one that ended while they were sending.
+func (s *Server) shorten(most int) int {
+	done := s.others.Shorten(most)
+	var idle []*conn
+	s.mu.Lock()
+	for c := range s.conns {
+		c.mu.Lock()
+		if c.idle {
+			idle = append(idle, c)
+		}
+		c.mu.Unlock()
+	}
+	s.mu.Unlock()
+	slices.SortFunc(idle, func(a, b *conn) int { return a.idleAt.Compare(b.idleAt) })
+	for _, c := range idle[:min(most-done, len(idle))] {
+		c.why("short")
+		c.Close()
+		done++
+	}
+	return done
+}
+
+// state follows what the server does with a connection.
+func (s *Server) state(sock net.Conn, to http.ConnState) {
+	c, ok := sock.(*conn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch to {
+	case http.StateActive:
+		c.idle = false
+		c.served++
+	case http.StateIdle:
+		c.idle, c.idleAt = true, time.Now()
+	}
+}
+
+// drainable notes beforehand why an unused connection is about to be closed.
+func (c *conn) drainable() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && c.code == "" {
+		c.code = "drained"
+	}
+}
+
+func (s *Server) closed(c *conn) {
+	s.mu.Lock()
+	_, held := s.conns[c]
+	delete(s.conns, c)
+	c.mu.Lock()
+	code, served := c.code, c.served
+	c.mu.Unlock()
+	if code == "" {
+		code = "done" // by us, after an answer that said so
+	}
+	if held {
+		s.count.Closed++
+		s.count.Codes[code]++
+	}
+	s.mu.Unlock()
+	if held {
+		s.log.WithField("side", "client").WithField("peer", c.RemoteAddr().String()).WithField("code", code).
+			WithField("requests", served).WithField("ms", time.Since(c.made).Milliseconds()).Info("connection ended")
+	}
+}
--- /dev/null
+++ b/internal/transport/nodes/conn.go
@@ -0,0 +1,396 @@
+package nodes
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"syscall"
+	"time"
+
+	"brackenfront/internal/protocol"
+)
+
+// conn is one connection, up or coming up. Its fields are the fleet's lock's; it has a goroutine
+// that dials, writes and ends it, and one that reads.
+type conn struct {
+	peer   *peer
+	wake   chan struct{} // there is something to write, or it is closed
+	queue  []op          // bounded by calls, which the limits bound, and one give-up for each part
+	calls  int           // that take a place
+	parts  map[string]*Part
+	probes []func(ok bool)
+	doubt  *time.Timer // ends a probe that is not answered
+
+	sock           net.Conn
+	up, closed     bool
+	code           string
+	made, usedAt   time.Time
+	readAt, busyAt time.Time // the last bytes in; since when something has been out
+}
+
+// op is one thing to write.
+type op struct {
+	call   *call
+	giveUp string
+	probe  bool
+}
+
+func (p *peer) open() *conn {
+	now := time.Now()
+	c := &conn{peer: p, wake: make(chan struct{}, 1), parts: map[string]*Part{}, made: now, usedAt: now, readAt: now}
+	p.conns = append(p.conns, c)
+	p.fleet.count.Dialled++
+	p.fleet.ended.Add(1)
+	go c.run()
+	return c
+}
+
+func (c *conn) put(o op) {
+	c.queue = append(c.queue, o)
+	c.usedAt = time.Now()
+	c.nudge()
+}
+
+func (c *conn) nudge() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *conn) unused() bool { return c.up && len(c.queue) == 0 && c.calls == 0 && len(c.probes) == 0 }
+
+// fresh guards against a request that crosses the other side's close: an unused connection is let
+// go while a frame still has all the time to get there that a connection gets to come up.
+func (c *conn) fresh() bool {
+	return !c.unused() || time.Since(c.usedAt) < c.peer.fleet.limits.Idle-c.peer.fleet.limits.Connect
+}
+
+// drop takes an ended part out of its call, and frees the call's place with the last one.
+func (c *conn) drop(p *Part) {
+	p.conn = nil
+	if p.call.out--; p.call.out == 0 {
+		c.calls--
+		c.usedAt = time.Now()
+		c.rearm()
+	}
+}
+
+// close ends the connection; run does the rest. The first reason stands.
+func (c *conn) close(code string) {
+	if c.closed {
+		return
+	}
+	c.closed, c.code = true, code
+	if i := slices.Index(c.peer.conns, c); i >= 0 {
+		c.peer.conns = slices.Delete(c.peer.conns, i, i+1)
+	}
+	if c.sock != nil {
+		c.sock.Close()
+	}
+	c.nudge()
+}
+
+// probe sends a probe, and gives it as long as a connection gets to come up.
+func (c *conn) probe(back func(ok bool)) {
+	c.probes = append(c.probes, back)
+	c.put(op{probe: true})
+	if len(c.probes) > 1 {
+		return
+	}
+	f, sent := c.peer.fleet, time.Now()
+	c.doubt = time.AfterFunc(f.limits.Connect, func() {
+		f.mu.Lock()
+		backs := c.probes
+		c.probes = nil
+		// Guards against a machine that is back while its old connection stays silent: with
+		// nothing else out on it, and nothing heard since, the next probe takes a new one.
+		if len(backs) > 0 && c.calls == 0 && c.readAt.Before(sent) {
+			c.close("silent")
+		}
+		f.mu.Unlock()
+		for _, b := range backs {
+			b(false)
+		}
+	})
+}
+
+// run dials, writes what is queued, and at the end tells the owners of all that was out.
+func (c *conn) run() {
+	f := c.peer.fleet
+	defer f.ended.Done()
+	code, err := c.dial()
+	var reader chan struct{}
+	if err == nil {
+		reader = make(chan struct{})
+		go func() {
+			defer close(reader)
+			c.read()
+		}()
+		code, err = c.write()
+	}
+	f.mu.Lock()
+	c.close(code)
+	f.mu.Unlock()
+	if reader != nil {
+		<-reader
+	}
+	f.mu.Lock()
+	if c.doubt != nil {
+		c.doubt.Stop()
+	}
+	var left []*Part
+	for _, p := range c.parts {
+		left = append(left, p)
+	}
+	for _, o := range c.queue {
+		if o.call != nil {
+			for _, p := range o.call.parts {
+				if p.conn == c {
+					left = append(left, p)
+				}
+			}
+		}
+	}
+	backs, code := c.probes, c.code
+	c.probes, c.queue, c.parts = nil, nil, nil
+	for _, p := range left {
+		p.conn = nil
+	}
+	f.count.Closed++
+	f.count.Codes[code]++
+	life := time.Since(c.made)
+	f.mu.Unlock()
+	entry := f.log.WithField("side", "node").WithField("peer", c.peer.addr).WithField("code", code).
+		WithField("parts", len(left)).WithField("ms", life.Milliseconds())
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("connection ended")
+	for _, p := range left {
+		p.end(p.broken())
+	}
+	for _, b := range backs {
+		b(false)
+	}
+}
+
+func (c *conn) dial() (code string, err error) {
+	f := c.peer.fleet
+	d := net.Dialer{Timeout: f.limits.Connect, KeepAlive: -1}
+	sock, err := d.DialContext(f.ctx, "tcp", c.peer.addr)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return "refused", err
+		} else if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			return "descriptors", err
+		}
+		return "unreached", err
+	}
+	if c.sock = sock; c.closed {
+		sock.Close()
+		return c.code, net.ErrClosed
+	}
+	c.up, c.readAt = true, time.Now()
+	c.rearm()
+	return "", nil
+}
+
+// rearm sets how long the reader waits: while parts are out, as long as any part can be; else
+// until the other side may close.
+func (c *conn) rearm() {
+	if !c.up || c.closed {
+		return
+	}
+	l, now := c.peer.fleet.limits, time.Now()
+	if c.unused() {
+		c.busyAt = time.Time{}
+		c.sock.SetReadDeadline(now.Add(l.Idle - l.Connect))
+		return
+	}
+	if c.busyAt.IsZero() {
+		c.busyAt = now
+		c.sock.SetReadDeadline(now.Add(l.Longest))
+	}
+}
+
+// write sends what is queued until the connection ends.
+func (c *conn) write() (string, error) {
+	f := c.peer.fleet
+	var buf []byte
+	type mark struct {
+		at    int
+		parts []*Part
+	}
+	var marks []mark
+	for {
+		<-c.wake
+		f.mu.Lock()
+		if c.closed {
+			code := c.code
+			f.mu.Unlock()
+			return code, nil
+		}
+		buf, marks = buf[:0], marks[:0]
+		for _, o := range c.queue {
+			switch {
+			case o.call != nil:
+				var asked []protocol.Asked
+				var parts []*Part
+				for _, p := range o.call.parts {
+					if p.conn != c {
+						continue // given up before it went out: it never runs
+					}
+					c.parts[p.ID] = p
+					parts = append(parts, p)
+					asked = append(asked, protocol.Asked{ID: p.ID, Shard: p.Shard, Extra: p.Extra, Text: p.Text,
+						Wait: time.Until(p.Until).Seconds()})
+				}
+				if len(asked) > 0 {
+					buf = protocol.AppendCall(buf, asked)
+					marks = append(marks, mark{len(buf), parts})
+					f.count.Parts += len(parts)
+				}
+			case o.probe:
+				buf = protocol.AppendProbe(buf)
+			default:
+				buf = protocol.AppendGiveUp(buf, o.giveUp)
+			}
+		}
+		c.queue = c.queue[:0]
+		c.rearm()
+		f.mu.Unlock()
+		if len(buf) == 0 {
+			continue
+		}
+		c.sock.SetWriteDeadline(time.Now().Add(f.limits.Longest))
+		n, err := c.sock.Write(buf)
+		f.mu.Lock()
+		f.count.BytesOut += int64(n)
+		for _, m := range marks {
+			for _, p := range m.parts {
+				p.written = m.at <= n
+			}
+		}
+		f.mu.Unlock()
+		if err != nil {
+			return fault(err, "stuck"), err
+		}
+	}
+}
+
+// fault names why a socket failed; late is the word for a time that ran out.
+func fault(err error, late string) string {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return late
+	case errors.Is(err, io.EOF):
+		return "ended"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return "reset"
+	}
+	return "broken"
+}
+
+// read takes in frames until the connection ends.
+func (c *conn) read() {
+	f := c.peer.fleet
+	r := bufio.NewReaderSize(counted{c}, 4096)
+	for {
+		letter, rest, err := protocol.ReadFrame(r)
+		var e protocol.Ended
+		var works bool
+		if err == nil {
+			switch letter {
+			case protocol.Reply:
+				e, err = protocol.ParseReply(rest)
+			case protocol.Probe:
+				works, err = protocol.ParseProbe(rest)
+			case protocol.Refusal:
+				err = &refusal{string(rest)}
+			default:
+				err = &protocol.BadFrame{What: "an unknown letter"}
+			}
+		}
+		if err != nil {
+			c.lost(err)
+			return
+		}
+		f.mu.Lock()
+		var backs []func(bool)
+		var p *Part
+		if letter == protocol.Reply {
+			f.count.Replies++
+			// An answer to a part that is no longer waited for is normal: given up, or asked elsewhere.
+			if p = c.parts[e.ID]; p != nil {
+				delete(c.parts, e.ID)
+				c.drop(p)
+			} else {
+				f.count.Strays++
+			}
+		} else {
+			if c.doubt != nil {
+				c.doubt.Stop()
+			}
+			backs, c.probes = c.probes, nil
+		}
+		if c.busyAt = (time.Time{}); !c.closed {
+			c.rearm()
+		}
+		f.mu.Unlock()
+		if p != nil {
+			p.end(e)
+		}
+		for _, b := range backs {
+			b(works)
+		}
+	}
+}
+
+// refusal is a node's word that our frame could not be used.
+type refusal struct{ words string }
+
+func (e *refusal) Error() string { return "the node could not use a frame: " + e.words }
+
+// lost closes the connection for what the reader met.
+func (c *conn) lost(err error) {
+	f := c.peer.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	late := "silent"
+	if c.unused() {
+		late = "idle"
+	}
+	code := fault(err, late)
+	var bad *protocol.BadFrame
+	var ref *refusal
+	if errors.As(err, &bad) {
+		code = "malformed"
+	} else if errors.As(err, &ref) {
+		code = "misread"
+	}
+	if !c.closed && (bad != nil || ref != nil) {
+		f.log.WithField("peer", c.peer.addr).WithError(err).Warn("a node's frame could not be used")
+	}
+	c.close(code)
+}
+
+// counted notes what comes in.
+type counted struct{ c *conn }
+
+func (r counted) Read(b []byte) (int, error) {
+	n, err := r.c.sock.Read(b)
+	f := r.c.peer.fleet
+	f.mu.Lock()
+	f.count.BytesIn += int64(n)
+	if n > 0 {
+		r.c.readAt = time.Now()
+	}
+	f.mu.Unlock()
+	return n, err
+}
--- /dev/null
+++ b/internal/transport/nodes/fleet.go
@@ -0,0 +1,176 @@
+package nodes
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Limits are what the deployment states of connections to nodes.
+type Limits struct {
+	Streams int           // calls at once on one connection
+	Connect time.Duration // until a connection has to be up; as long for a probe's answer
+	Idle    time.Duration // after which the other side may close an unused one
+	Longest time.Duration // the longest that any part is waited for
+}
+
+// Fleet holds the connections to all nodes. Its calls never wait for a socket.
+type Fleet struct {
+	limits Limits
+	log    *logrus.Logger
+	ctx    context.Context
+	stop   context.CancelFunc
+	ended  sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	count Counts
+}
+
+// Counts are sums since the start.
+type Counts struct {
+	Dialled, Closed, Refused      int
+	Parts, Given, Replies, Strays int
+	Probes                        int
+	BytesOut, BytesIn             int64
+	Codes                         map[string]int
+}
+
+// peer is one address and the connections to it.
+type peer struct {
+	fleet *Fleet
+	addr  string
+	conns []*conn
+}
+
+// NewFleet makes a fleet without connections.
+func NewFleet(l Limits, log *logrus.Logger) *Fleet {
+	f := &Fleet{limits: l, log: log, peers: map[string]*peer{}}
+	f.count.Codes = map[string]int{}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	return f
+}
+
+// Ask puts one call on a connection that has room, or on a new one.
+func (f *Fleet) Ask(addr string, parts []*Part) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.room(addr)
+	k := &call{parts: slices.Clone(parts), out: len(parts)}
+	for _, p := range k.parts {
+		p.conn, p.call = c, k
+	}
+	c.calls++
+	c.put(op{call: k})
+}
+
+// GiveUp ends the wait for a part; its owner is not told.
+func (f *Fleet) GiveUp(p *Part) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := p.conn
+	if c == nil {
+		return
+	}
+	f.count.Given++
+	if c.parts[p.ID] == p {
+		delete(c.parts, p.ID)
+		c.put(op{giveUp: p.ID})
+	}
+	c.drop(p)
+}
+
+// Probe asks a node whether it works; back is told once.
+func (f *Fleet) Probe(addr string, back func(ok bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count.Probes++
+	f.room(addr).probe(back)
+}
+
+// Renew closes the connections to a node on which nothing is out.
+func (f *Fleet) Renew(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.peers[addr]; p != nil {
+		for _, c := range slices.Clone(p.conns) {
+			if c.unused() {
+				c.close("renewed")
+			}
+		}
+	}
+}
+
+// Shorten closes up to so many unused connections, the longest unused first, and says how many.
+func (f *Fleet) Shorten(most int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var idle []*conn
+	for _, p := range f.peers {
+		for _, c := range p.conns {
+			if c.unused() {
+				idle = append(idle, c)
+			}
+		}
+	}
+	slices.SortFunc(idle, func(a, b *conn) int { return a.usedAt.Compare(b.usedAt) })
+	idle = idle[:min(most, len(idle))]
+	for _, c := range idle {
+		c.close("short")
+	}
+	return len(idle)
+}
+
+// Open counts the connections that hold a descriptor.
+func (f *Fleet) Open() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.count.Dialled - f.count.Closed
+}
+
+// Counts gives the sums.
+func (f *Fleet) Counts() Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.count
+	c.Codes = make(map[string]int, len(f.count.Codes))
+	for k, v := range f.count.Codes {
+		c.Codes[k] = v
+	}
+	return c
+}
+
+// Close closes all connections and waits for their goroutines.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	f.stop()
+	for _, p := range f.peers {
+		for _, c := range slices.Clone(p.conns) {
+			c.close("stopped")
+		}
+	}
+	f.mu.Unlock()
+	f.ended.Wait()
+}
+
+// room finds the connection with room that is used most, so that few stay open, or opens one.
+func (f *Fleet) room(addr string) *conn {
+	p := f.peers[addr]
+	if p == nil {
+		p = &peer{fleet: f, addr: addr}
+		f.peers[addr] = p
+	}
+	var best *conn
+	for _, c := range p.conns {
+		if c.calls < f.limits.Streams && (best == nil || c.calls > best.calls) && c.fresh() {
+			best = c
+		}
+	}
+	if best == nil {
+		best = p.open()
+	}
+	return best
+}
--- /dev/null
+++ b/internal/transport/nodes/part.go
@@ -0,0 +1,49 @@
+// Package nodes speaks with nodes: it keeps framed connections to them, puts calls on these, and
+// tells the owner of each part how it ended. Which node gets what is decided elsewhere.
+package nodes
+
+import (
+	"time"
+
+	"brackenfront/balance"
+	"brackenfront/internal/protocol"
+)
+
+// Owner is told how a part's sub-request ended: once, and not after GiveUp. It may be called from
+// any goroutine and may wait.
+type Owner interface {
+	Ended(at, try int, e protocol.Ended)
+}
+
+// Part is one sub-request. The connection that has it owns it until it has ended.
+type Part struct {
+	ID    string
+	Shard int
+	Extra string
+	Text  string
+	Until time.Time // how long the broker waits
+	Owner Owner
+	At    int // its index within the owner
+	Try   int
+
+	conn    *conn
+	call    *call
+	written bool // the last byte of its frame is with the system
+}
+
+// call is the parts that share a frame, and one place on a connection.
+type call struct {
+	parts []*Part
+	out   int
+}
+
+func (p *Part) end(e protocol.Ended) { p.Owner.Ended(p.At, p.Try, e) }
+
+// broken is how a part ends with its connection: it never ran only if its frame's last byte was
+// not written.
+func (p *Part) broken() protocol.Ended {
+	if p.written {
+		return protocol.Ended{ID: p.ID, How: balance.Dropped}
+	}
+	return protocol.Ended{ID: p.ID, How: balance.Unreached}
+}
--- /dev/null
+++ b/internal/transport/watch/watch.go
@@ -0,0 +1,178 @@
+// Package watch follows discovery's list of nodes.
+package watch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/internal/protocol"
+)
+
+// heartbeat is how often a watch says at least an empty line; a few missing ones end it. What
+// discovery has to tell counts as told after three of them, whether it arrived or not.
+const (
+	heartbeat = 2 * time.Second
+	missing   = 3
+)
+
+// maxLine bounds one word of discovery.
+const maxLine = 16 << 20
+
+// Watch follows discovery until it is stopped.
+type Watch struct {
+	addr string
+	seq  int64
+	wait time.Duration // before the second try; it doubles up to a heartbeat
+	log  *logrus.Logger
+	told func(protocol.Listing)
+	lost func()
+	http http.Client
+	stop context.CancelFunc
+	end  sync.WaitGroup
+
+	mu    sync.Mutex
+	count Counts
+}
+
+// Counts are sums since the start.
+type Counts struct{ Watches, Words, Entries, Broken int }
+
+// New follows the list from known on. told gets every word in order, lost hears that a watch
+// ended; both may wait. Nothing happens before Start.
+func New(addr string, known protocol.Listing, wait time.Duration, log *logrus.Logger,
+	told func(protocol.Listing), lost func()) *Watch {
+	w := &Watch{addr: addr, seq: known.Seq, wait: wait, log: log, told: told, lost: lost}
+	d := net.Dialer{Timeout: heartbeat, KeepAlive: -1}
+	w.http.Transport = &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, Proxy: nil,
+		ResponseHeaderTimeout: missing * heartbeat}
+	return w
+}
+
+// Start begins to follow.
+func (w *Watch) Start() {
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	w.end.Add(1)
+	go w.run(ctx)
+}
+
+// Close ends it and waits.
+func (w *Watch) Close() {
+	if w.stop != nil {
+		w.stop()
+		w.end.Wait()
+	}
+}
+
+// Counts gives the sums.
+func (w *Watch) Counts() Counts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.count
+}
+
+func (w *Watch) run(ctx context.Context) {
+	defer w.end.Done()
+	wait := w.wait
+	for ctx.Err() == nil {
+		began := time.Now()
+		words, code, err := w.follow(ctx)
+		entry := w.log.WithField("side", "discovery").WithField("peer", w.addr).WithField("code", code).
+			WithField("words", words).WithField("ms", time.Since(began).Milliseconds())
+		if err != nil {
+			entry = entry.WithError(err)
+		}
+		entry.Info("connection ended")
+		if ctx.Err() != nil {
+			return
+		}
+		w.lost()
+		if words > 0 {
+			wait = w.wait
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, heartbeat)
+	}
+}
+
+// follow holds one watch until it ends.
+func (w *Watch) follow(ctx context.Context) (words int, code string, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/v1/servers?follow=1&since=%d", w.addr, w.seq)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, "broken", err
+	}
+	w.mu.Lock()
+	w.count.Watches++
+	w.mu.Unlock()
+	// Guards against a discovery that fell silent: the connection shows nothing of it.
+	quiet := time.AfterFunc(missing*heartbeat, cancel)
+	defer quiet.Stop()
+	res, err := w.http.Do(req)
+	if err != nil {
+		if ctx.Err() != nil {
+			return 0, "silent", err
+		}
+		return 0, "unreached", err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return 0, "status", fmt.Errorf("answered %s", res.Status)
+	}
+	r := bufio.NewReader(res.Body)
+	var line []byte
+	for {
+		chunk, err := r.ReadSlice('\n')
+		quiet.Reset(missing * heartbeat)
+		line = append(line, chunk...)
+		if err == bufio.ErrBufferFull {
+			if len(line) > maxLine {
+				return words, "malformed", fmt.Errorf("a line of over %d bytes", maxLine)
+			}
+			continue
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return words, "silent", nil
+			}
+			if err == io.EOF {
+				return words, "ended", nil
+			}
+			return words, "broken", err
+		}
+		if text := bytes.TrimSpace(line); len(text) > 0 {
+			list, err := protocol.ParseListing(text)
+			if err == nil && !list.Whole && list.Seq < w.seq {
+				err = fmt.Errorf("changes of version %d after version %d", list.Seq, w.seq)
+			}
+			if err != nil {
+				w.mu.Lock()
+				w.count.Broken++
+				w.mu.Unlock()
+				return words, "malformed", err
+			}
+			words++
+			w.seq = list.Seq
+			w.mu.Lock()
+			w.count.Words++
+			w.count.Entries += len(list.Hosts)
+			w.mu.Unlock()
+			w.told(list)
+		}
+		line = line[:0]
+	}
+}
