--- a/cmd/brackenfront/main.go
+++ b/cmd/brackenfront/main.go
@@ -69,7 +69,7 @@
 
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	served := make(chan error, 1)
+	served, drained := make(chan error, 1), make(chan struct{})
 	go router.Run()
 	go func() { served <- server.Serve() }()
 	counters := func() { report(log, router, tripper, fleet, server, list) }
@@ -91,21 +91,20 @@
 					ctx, cancel := context.WithTimeout(context.Background(), late+boot.Longest)
 					defer cancel()
 					server.Drain(ctx, late)
-					served <- nil
+					close(drained)
 				}()
 			}
 		case err := <-served:
-			if draining && err == nil {
-				// Serve ends when Drain begins to wait; the end that counts is Drain's own.
-				if err = <-served; err == nil {
-					list.Close()
-					counters()
-					router.Stop()
-					fleet.Close()
-					log.Info("ended")
-				}
+			if err != nil {
+				return err
 			}
-			return err
+		case <-drained:
+			list.Close()
+			counters()
+			router.Stop()
+			fleet.Close()
+			log.Info("ended")
+			return nil
 		}
 	}
 }
--- /dev/null
+++ b/cmd/brackenfront/program_test.go
@@ -0,0 +1,882 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The tests start the program itself, by running this binary again, and speak to it over loopback.
+func TestMain(m *testing.M) {
+	if os.Getenv("BRACKENFRONT_TEST_MAIN") != "" {
+		main()
+		return
+	}
+	// CI's verdict must not vary from run to run.
+	flag.Set("rapid.seed", "20261201")
+	flag.Set("rapid.nofailfile", "true")
+	flag.Set("rapid.checks", "25")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// patience bounds every wait of a test; none is meant to come near it.
+const patience = 20 * time.Second
+
+// settings is a deployment of two cells of one shard each, every shard held by two nodes.
+const settings = `{"instances":1,"tick":5,"myZone":"a","discovery":"pushed","worthBy":"request","overShareWorth":0.1,
+ "lanes":[{"name":"all","effect":"read_like","target":2000,"giveUp":8000,"worth":1,"window":1000},
+  {"name":"any","effect":"read_like","target":2000,"giveUp":8000,"worth":1,"window":1000},
+  {"name":"two","effect":"read_like","target":2000,"giveUp":8000,"worth":1,"window":1000},
+  {"name":"once","effect":"non_idempotent","target":2000,"giveUp":8000,"worth":1,"window":1000}],
+ "tenants":[{"name":"acme","quotaPerS":1000}],
+ "familyInfo":{"perCall":1,"places":2,"reach":1,"slices":4,"classNeed":[1,0.5,1,1],"minShare":[1,0.5,1,1],
+  "incompleteWorth":[0,0,0,0],"fetchParts":[0,0,1,0]},
+ "policyLimits":{"mostTries":3,"maxOpen":MAXOPEN,"streamsPerConn":STREAMS,"mayCancel":true,"mayProbe":true,
+  "dialTimeout":300,"keepalive":30000},
+ "rules":{"cold":1000,"coldFrom":0.5,"fall":1000,"fallMultiple":3}}`
+
+// asked is one part as a node got it.
+type asked struct {
+	id, list, text string
+	shard          int
+}
+
+// events is the lock of all that a test looks at, and wakes it when something changed.
+type events struct {
+	sync.Mutex
+	moved *sync.Cond
+}
+
+func (e *events) note(f func()) {
+	e.Lock()
+	defer e.Unlock()
+	f()
+	e.moved.Broadcast()
+}
+
+// until waits for something to come true.
+func (e *events) until(t testing.TB, what string, true func() bool) {
+	t.Helper()
+	late := time.AfterFunc(patience, func() { e.note(func() {}) })
+	defer late.Stop()
+	e.Lock()
+	defer e.Unlock()
+	for end := time.Now().Add(patience); !true(); e.moved.Wait() {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// node stands in for a node: it does with each part what the test says.
+type node struct {
+	*events
+	name string
+	cell int
+	ln   net.Listener
+
+	does  func(p asked) string // hit, fault, overload, reset, nothing, or bytes to send after "raw:"
+	hold  chan struct{}        // where set, every answer waits for it
+	got   []asked
+	given []string
+	conns int
+	open  map[net.Conn]bool
+}
+
+func newNode(t testing.TB, e *events, name string, cell int) *node {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{events: e, name: name, cell: cell, ln: ln, does: always("hit"), open: map[net.Conn]bool{}}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n.note(func() { n.conns++; n.open[c] = true })
+			go n.serve(c)
+		}
+	}()
+	t.Cleanup(n.die)
+	return n
+}
+
+// die refuses what is new and resets what is open.
+func (n *node) die() {
+	n.ln.Close()
+	n.note(func() {
+		for c := range n.open {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	})
+}
+
+func (n *node) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		var head [5]byte
+		if _, err := io.ReadFull(r, head[:]); err != nil {
+			return
+		}
+		rest := make([]byte, binary.BigEndian.Uint32(head[:])-1)
+		if _, err := io.ReadFull(r, rest); err != nil {
+			return
+		}
+		switch head[4] {
+		case 'A':
+			for len(rest) > 0 {
+				line, after, _ := bytes.Cut(rest, []byte{'\n'})
+				f := strings.Split(string(line), " ")
+				size, _ := strconv.Atoi(f[3])
+				shard, _ := strconv.Atoi(f[1])
+				p := asked{f[0], f[2], string(after[:size]), shard}
+				rest = after[size:]
+				var how string
+				var hold chan struct{}
+				n.note(func() { n.got, how, hold = append(n.got, p), n.does(p), n.hold })
+				if hold != nil {
+					<-hold
+				}
+				if !n.answer(c, p, how) {
+					return
+				}
+			}
+		case 'B':
+			n.note(func() { n.given = append(n.given, string(rest)) })
+		case 'C':
+			c.Write(frame('C', "hit"))
+		}
+	}
+}
+
+func (n *node) answer(c net.Conn, p asked, how string) bool {
+	switch {
+	case how == "nothing":
+	case how == "reset":
+		return false
+	case strings.HasPrefix(how, "raw:"):
+		c.Write([]byte(how[4:]))
+	case how == "hit":
+		c.Write(frame('E', fmt.Sprintf("%s hit %d load=1\n%s", p.id, 100+p.shard, value(p.shard))))
+	default:
+		c.Write(frame('E', p.id+" "+how+" 0 -\n"))
+	}
+	return true
+}
+
+func frame(letter byte, rest string) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(len(rest)+1))
+	return append(append(b, letter), rest...)
+}
+
+// value has what JSON must escape, and what it may leave alone.
+func value(shard int) string { return fmt.Sprintf("v%d \"<é>\"\\\n", shard) }
+
+func (n *node) do(does func(p asked) string) { n.note(func() { n.does = does }) }
+
+func always(how string) func(asked) string { return func(asked) string { return how } }
+
+func (n *node) entry(health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"a","class":"k","block":%d,"health":%q,"share":1.0,"born_ms":BORN}`,
+		n.name, n.ln.Addr(), n.cell, health)
+}
+
+// program is one broker under test, with its nodes and its discovery.
+type program struct {
+	*events
+	t       testing.TB
+	nodes   []*node
+	cmd     *exec.Cmd
+	addr    string
+	words   chan string // what discovery says next
+	watches chan string // the query of every watch that began
+	http    http.Client
+
+	lines []string
+	over  bool
+	exit  chan struct{}
+	ids   int
+}
+
+func start(t testing.TB, change ...string) *program {
+	p := &program{events: &events{}, t: t, words: make(chan string, 8), watches: make(chan string, 64), exit: make(chan struct{})}
+	p.moved = sync.NewCond(&p.Mutex)
+	for i := range 4 {
+		p.nodes = append(p.nodes, newNode(t, p.events, fmt.Sprintf("s-%d", i), i%2))
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	discovery := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		p.watches <- r.URL.RawQuery
+		for {
+			select {
+			case word := <-p.words:
+				if word == "end" {
+					return
+				}
+				io.WriteString(w, strings.ReplaceAll(word, "BORN", "0")+"\n")
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			case <-stop:
+				return
+			}
+		}
+	})}
+	go discovery.Serve(ln)
+	t.Cleanup(func() { close(stop); discovery.Close() })
+	var hosts []string
+	for _, n := range p.nodes {
+		hosts = append(hosts, n.entry("active"))
+	}
+	config := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":256},
+		"known":{"seq":41,"whole":true,"hosts":[%s]},"settings":%s}`, ln.Addr(), strings.Join(hosts, ","), settings)
+	config = strings.NewReplacer(append(change, "MAXOPEN", "200", "STREAMS", "32", "BORN", "0")...).Replace(config)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = append(os.Environ(), "BRACKENFRONT_TEST_MAIN=1", "ROUTER_CONFIG="+path)
+	pipe, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for s := bufio.NewScanner(pipe); s.Scan(); {
+			p.note(func() { p.lines = append(p.lines, s.Text()) })
+		}
+		p.cmd.Wait()
+		close(p.exit)
+		p.note(func() { p.over = true })
+	}()
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		<-p.exit
+		if t.Failed() {
+			t.Log(strings.Join(p.lines, "\n"))
+		}
+	})
+	return p
+}
+
+// serving starts a program and waits until it serves.
+func serving(t testing.TB, change ...string) *program {
+	p := start(t, change...)
+	p.addr = regexp.MustCompile(`listen="([^"]+)"`).FindStringSubmatch(p.line("msg=serving"))[1]
+	<-p.watches
+	return p
+}
+
+// line waits for a log line with all these words and gives it.
+func (p *program) line(words ...string) (found string) {
+	p.t.Helper()
+	p.until(p.t, fmt.Sprintf("a line of %q", words), func() bool {
+		for _, l := range p.lines {
+			if !slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(l, w) }) {
+				found = l
+			}
+		}
+		return found != "" || p.over
+	})
+	if found == "" {
+		p.t.Fatalf("ended without a line of %q", words)
+	}
+	return found
+}
+
+// counters reads one line of counters.
+func (p *program) counters(which string) map[string]int {
+	p.t.Helper()
+	c := map[string]int{}
+	for _, f := range regexp.MustCompile(`(\w+)=(\d+)`).FindAllStringSubmatch(p.line("counters: "+which), -1) {
+		c[f[1]], _ = strconv.Atoi(f[2])
+	}
+	return c
+}
+
+// stop ends the program in good order and checks what must hold of every run.
+func (p *program) stop() {
+	p.t.Helper()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.ends()
+}
+
+// ends waits for the end of a program that had its signal.
+func (p *program) ends() {
+	p.t.Helper()
+	select {
+	case <-p.exit:
+	case <-time.After(patience):
+		p.t.Fatal("does not end after SIGTERM")
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+		p.t.Fatalf("ended with %d", code)
+	}
+	s, a := p.counters("searches"), p.counters("sub-requests")
+	if s["taken"] != s["answered"]+s["shed"]+s["errored"]+s["gone"]+s["inhand"] || s["inhand"] != 0 {
+		p.t.Errorf("searches do not balance: %v", s)
+	}
+	if a["sent"] != a["ok"]+a["error"]+a["overload"]+a["timeout"]+a["unreached"]+a["reset"]+a["cancelled"]+a["moot"]+a["out"] {
+		p.t.Errorf("sub-requests do not balance: %v", a)
+	}
+}
+
+// request makes a search; further header fields come in pairs, an empty value takes one out.
+func (p *program) request(kind, body string, fields ...string) *http.Request {
+	p.ids++
+	r, err := http.NewRequest("POST", "http://"+p.addr+"/"+kind, strings.NewReader(body))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	fields = append([]string{"X-Trace-Id", fmt.Sprintf("%016x", p.ids), "X-Qos", kind, "X-Customer", "acme",
+		"X-Expires-In", "8000m"}, fields...)
+	for ; len(fields) > 0; fields = fields[2:] {
+		if r.Header.Set(fields[0], fields[1]); fields[1] == "" {
+			r.Header.Del(fields[0])
+		}
+	}
+	return r
+}
+
+// search is a body that touches these shards in equal parts.
+func search(shards ...int) string {
+	var b []string
+	for _, s := range shards {
+		b = append(b, fmt.Sprintf(`{"bucket":%d,"part":%g,"effort":9000,"seed":"00ff"}`, s, 1/float64(len(shards))))
+	}
+	return `{"buckets":[` + strings.Join(b, ",") + `],"body":"q\u00e9\n\"<x>"}`
+}
+
+type answer struct {
+	Status   int
+	Finished bool
+	Found    []struct {
+		Bucket int
+		Item   string
+	}
+	Error string
+}
+
+func (p *program) send(r *http.Request) (a answer) {
+	p.t.Helper()
+	res, err := p.http.Do(r)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if len(raw) > 0 {
+		if err := json.Unmarshal(raw, &a); err != nil {
+			p.t.Fatalf("%v in %q", err, raw)
+		}
+	}
+	a.Status = res.StatusCode
+	return a
+}
+
+// whole asks and wants a whole answer of these shards' values.
+func (p *program) whole(kind string, want []int, shards ...int) {
+	p.t.Helper()
+	a := p.send(p.request(kind, search(shards...)))
+	if a.Status != 200 || !a.Finished || len(a.Found) != len(want) {
+		p.t.Fatalf("%s: got %+v", kind, a)
+	}
+	for i, f := range a.Found {
+		if f.Bucket != want[i] || f.Item != value(f.Bucket) {
+			p.t.Fatalf("%s: got %+v", kind, a)
+		}
+	}
+}
+
+// given and got sum over all nodes.
+func (p *program) got() (got []asked, given []string) {
+	p.Lock()
+	defer p.Unlock()
+	for _, n := range p.nodes {
+		got, given = append(got, n.got...), append(given, n.given...)
+	}
+	return
+}
+
+func TestServes(t *testing.T) {
+	p := serving(t)
+	if res, err := p.http.Get("http://" + p.addr + "/healthz"); err != nil || res.StatusCode != 200 {
+		t.Fatalf("health: %v %v", res, err)
+	}
+	p.whole("all", []int{0, 1}, 0, 1)
+	got, _ := p.got()
+	if len(got) != 2 {
+		t.Fatalf("nodes got %v", got)
+	}
+	for _, g := range got {
+		if g.text != "qé\n\"<x>" || !regexp.MustCompile(`^d=\d+$`).MatchString(g.list) ||
+			g.id != fmt.Sprintf("%016x.%d", 1, g.shard) {
+			t.Fatalf("a node got %+v", g)
+		}
+	}
+	p.cmd.Process.Signal(syscall.SIGUSR1)
+	if c := p.counters("searches"); c["taken"] != 1 || c["answered"] != 1 {
+		t.Fatalf("counters %v", c)
+	}
+	p.stop()
+}
+
+func TestAnyOfTheParts(t *testing.T) {
+	p := serving(t)
+	for _, n := range p.nodes {
+		n.do(func(a asked) string {
+			if a.shard == 1 {
+				return "nothing"
+			}
+			return "hit"
+		})
+	}
+	p.whole("any", []int{0}, 0, 1)
+	p.until(t, "the rest to be given up", func() bool { return len(p.nodes[1].given)+len(p.nodes[3].given) == 1 })
+	p.stop()
+}
+
+func TestSecondStep(t *testing.T) {
+	p := serving(t)
+	p.whole("two", []int{3}, 0, 3, 1)
+	got, _ := p.got()
+	got = slices.DeleteFunc(got, func(a asked) bool { return !strings.HasSuffix(a.id, ".load") })
+	if len(got) != 1 || got[0].id != fmt.Sprintf("%016x.3.load", 1) || got[0].shard != 3 ||
+		!regexp.MustCompile(`^d=\d+,from=0\+3\+1,whole=1$`).MatchString(got[0].list) {
+		t.Fatalf("the second step asked %+v", got)
+	}
+	p.stop()
+}
+
+// TestNodeTroubles: whatever the first holder does with a part, the other one answers it.
+func TestNodeTroubles(t *testing.T) {
+	for what, c := range map[string]struct{ does, code string }{
+		"reset": {"reset", "code=ended"}, "fault": {"fault", ""}, "overload": {"overload", ""}, "silent": {"nothing", ""},
+		"a letter that is none":    {"raw:" + string(frame('Z', "")), "code=malformed"},
+		"a length beyond bounds":   {"raw:\xff\xff\xff\xffE", "code=malformed"},
+		"a length of nothing":      {"raw:\x00\x00\x00\x00E", "code=malformed"},
+		"a refusal":                {"raw:" + string(frame('F', "what?")), "code=misread"},
+		"a reply that is none":     {"raw:" + string(frame('E', "x hit\n")), "code=malformed"},
+		"a value that is no text":  {"raw:" + string(frame('E', "0000000000000001.0 hit 1 -\n\xff")), "code=malformed"},
+		"a reply to nothing asked": {"raw:" + string(frame('E', "x.0 hit 1 -\nv")), ""},
+	} {
+		t.Run(what, func(t *testing.T) {
+			p := serving(t)
+			asks := 0
+			for _, n := range p.nodes {
+				n.do(func(asked) string {
+					if asks++; asks == 1 {
+						return c.does
+					}
+					return "hit"
+				})
+			}
+			p.whole("all", []int{0}, 0)
+			if c.code != "" {
+				p.line("side=node", c.code)
+			}
+			p.stop()
+		})
+	}
+}
+
+func TestRefusedConnect(t *testing.T) {
+	p := serving(t)
+	p.nodes[0].die()
+	for range 4 { // the offset is drawn; some of these start at the dead one
+		p.whole("all", []int{0, 1}, 0, 1)
+	}
+	p.line("side=node", "code=refused")
+	p.stop()
+}
+
+// TestNeverTwice: a part that may have run is not sent again where its type forbids it, and its
+// search ends in time, by an answer that promises nothing.
+func TestNeverTwice(t *testing.T) {
+	p := serving(t)
+	for _, n := range p.nodes {
+		n.do(always("nothing"))
+	}
+	if a := p.send(p.request("once", search(0), "X-Expires-In", "500m")); a.Status != 500 {
+		t.Fatalf("got %+v", a)
+	}
+	if got, _ := p.got(); len(got) != 1 {
+		t.Fatalf("asked %+v", got)
+	}
+	p.stop()
+}
+
+func TestLeavingNode(t *testing.T) {
+	p := serving(t)
+	p.words <- `{"seq":42,"whole":false,"hosts":[` + p.nodes[0].entry("leaving") + `,` + p.nodes[1].entry("left") + `]}`
+	p.words <- `{"seq":43,"whole":false,"hosts":[{"host":"s-9"}]}` // not usable: the list in hand stays
+	p.line("side=discovery", "code=malformed")
+	if q := <-p.watches; q != "follow=1&since=42" {
+		t.Fatalf("watches again from %s", q)
+	}
+	for range 4 {
+		p.whole("all", []int{0, 1}, 0, 1)
+	}
+	p.Lock()
+	left := len(p.nodes[0].got) + len(p.nodes[1].got)
+	p.Unlock()
+	if left > 0 {
+		t.Fatalf("%d parts went to nodes that leave", left)
+	}
+	// A whole list without a node takes that node out, and a node may come back at a new address.
+	moved := newNode(t, p.events, "s-0", 0)
+	p.words <- `{"seq":50,"whole":true,"hosts":[` + moved.entry("active") + `,` + p.nodes[3].entry("active") + `]}`
+	p.words <- "end"
+	p.line("side=discovery", "code=ended")
+	<-p.watches
+	p.whole("all", []int{0, 1}, 0, 1)
+	p.until(t, "the part at the new address", func() bool { return len(moved.got) == 1 })
+	p.stop()
+}
+
+func TestClientGone(t *testing.T) {
+	p := serving(t)
+	for _, n := range p.nodes {
+		n.do(always("nothing"))
+	}
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.request("all", search(0, 1)).Write(c)
+	p.until(t, "both parts", func() bool { return len(p.nodes[0].got)+len(p.nodes[2].got) > 0 })
+	c.Close()
+	p.until(t, "both parts to be given up", func() (all bool) {
+		n := 0
+		for _, x := range p.nodes {
+			n += len(x.given)
+		}
+		return n == 2
+	})
+	p.line("side=client", "code=left")
+	p.stop()
+	if s := p.counters("searches"); s["gone"] != 1 {
+		t.Fatalf("counters %v", s)
+	}
+}
+
+// TestDrain: with a search in hand, SIGTERM closes unused connections, still serves new ones, and
+// ends the program once all is answered.
+func TestDrain(t *testing.T) {
+	p := serving(t)
+	idle, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.request("all", search(0)).Write(idle)
+	r := bufio.NewReader(idle)
+	if res, err := http.ReadResponse(r, nil); err != nil || res.Close {
+		t.Fatalf("%v %v", res, err)
+	} else {
+		io.Copy(io.Discard, res.Body)
+	}
+	hold := make(chan struct{})
+	for _, n := range p.nodes {
+		n.note(func() { n.hold = hold })
+	}
+	held := p.request("all", search(2))
+	before := make(chan answer)
+	go func() { before <- p.send(held) }()
+	p.until(t, "the part in hand", func() bool { return len(p.nodes[0].got)+len(p.nodes[2].got) == 2 })
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Fatalf("an unused connection ends with %v", err)
+	}
+	late := p.request("all", search(1))
+	late.Close = true
+	after := make(chan answer)
+	go func() { after <- p.send(late) }()
+	p.until(t, "the late part", func() bool { return len(p.nodes[1].got)+len(p.nodes[3].got) == 1 })
+	close(hold)
+	if a, b := <-before, <-after; a.Status != 200 || b.Status != 200 {
+		t.Fatalf("got %+v and %+v", a, b)
+	}
+	p.ends()
+}
+
+func TestSecondSignal(t *testing.T) {
+	p := serving(t)
+	for _, n := range p.nodes {
+		n.do(always("nothing"))
+	}
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	p.request("all", search(0)).Write(c)
+	p.until(t, "the part", func() bool { return len(p.nodes[0].got)+len(p.nodes[2].got) == 1 })
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.line("msg=draining")
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.line("a second signal")
+	<-p.exit
+	if code := p.cmd.ProcessState.ExitCode(); code != 1 {
+		t.Fatalf("ended with %d", code)
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	p := serving(t)
+	body := func(buckets, rest string) string { return `{"buckets":[` + buckets + `]` + rest + `}` }
+	one := `{"bucket":0,"part":1}`
+	for _, c := range []struct {
+		status int
+		says   string
+		r      *http.Request
+	}{
+		{400, "path: expected", p.request("none", search(0), "X-Qos", "")},
+		{400, "X-Qos: expected", p.request("all", search(0), "X-Qos", "any")},
+		{400, "X-Customer: expected", p.request("all", search(0), "X-Customer", "nobody")},
+		{400, "X-Trace-Id: expected", p.request("all", search(0), "X-Trace-Id", "")},
+		{400, "X-Trace-Id: expected", p.request("all", search(0), "X-Trace-Id", "a b")},
+		{400, "X-Expires-In: expected", p.request("all", search(0), "X-Expires-In", "")},
+		{400, "X-Expires-In: expected", p.request("all", search(0), "X-Expires-In", "40")},
+		{400, "X-Expires-In: expected", p.request("all", search(0), "X-Expires-In", "-5m")},
+		{400, "X-Expires-In: expected", p.request("all", search(0), "X-Expires-In", "NaNm")},
+		{400, "body: expected", p.request("all", "{")},
+		{400, "body: expected", p.request("all", "")},
+		{400, "buckets: expected", p.request("all", body("", `,"body":"x"`))},
+		{400, "body.body: expected", p.request("all", body(one, ""))},
+		{400, "body.body: expected", p.request("all", body(one, `,"body":7`))},
+		{400, "body.body: expected", p.request("all", body(one, `,"body":"\ud800"`))},
+		{400, "buckets[0].bucket: expected", p.request("all", body(`{"part":1}`, `,"body":"x"`))},
+		{400, "buckets[0].bucket: expected a shard from 0 to 3", p.request("all", search(4))},
+		{400, "buckets[1].bucket: expected", p.request("all", search(2, 2))},
+		{400, "buckets[0].part: expected", p.request("all", body(`{"bucket":0,"part":1.5}`, `,"body":"x"`))},
+		{400, "buckets[0].part: expected", p.request("all", body(`{"bucket":0}`, `,"body":"x"`))},
+		{413, "body: expected 65536", p.request("all", strings.Repeat(" ", 70_000))},
+	} {
+		if a := p.send(c.r); a.Status != c.status || !strings.HasPrefix(a.Error, c.says) {
+			t.Errorf("wanted %d %s, got %+v", c.status, c.says, a)
+		}
+	}
+	if res, err := p.http.Get("http://" + p.addr + "/all"); err != nil || res.StatusCode != 405 {
+		t.Errorf("%v %v", res, err)
+	}
+	if got, _ := p.got(); len(got) > 0 {
+		t.Errorf("nodes got %v", got)
+	}
+	p.whole("all", []int{0}, 0)
+	p.stop()
+	if c := p.counters("clients"); c["accepted"] > 3 {
+		t.Errorf("bad requests cost connections: %v", c)
+	}
+	if s := p.counters("searches"); s["bad"] != 22 || s["taken"] != 1 {
+		t.Errorf("counters %v", s)
+	}
+}
+
+func TestSlowClient(t *testing.T) {
+	p := serving(t, `"giveUp":8000`, `"giveUp":2100`)
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "POST /all HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n{")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || res.StatusCode != 408 {
+		t.Fatalf("%v %v", res, err)
+	}
+	p.line("side=client", "code=slow")
+	p.stop()
+}
+
+// TestLimits: what the settings bound on sockets is kept, and the same search is not taken twice.
+func TestLimits(t *testing.T) {
+	p := serving(t, "MAXOPEN", "7", "STREAMS", "2")
+	for _, n := range p.nodes {
+		n.do(always("nothing"))
+	}
+	var held []net.Conn
+	first := p.request("all", search(0))
+	for _, r := range []*http.Request{first, p.request("all", search(0)), p.request("all", search(0, 2))} {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+		r.Write(c)
+		p.until(t, "the parts", func() bool { return len(p.nodes[0].got)+len(p.nodes[2].got) >= len(held) })
+	}
+	p.until(t, "the parts", func() bool { return len(p.nodes[0].got)+len(p.nodes[2].got) == 4 })
+	if a := p.send(p.request("all", search(1))); a.Status != 503 {
+		t.Errorf("over the limit: %+v", a)
+	}
+	held[2].Close()
+	p.line("side=client", "code=left")
+	if a := p.send(p.request("all", search(0), "X-Trace-Id", first.Header.Get("X-Trace-Id"))); a.Status != 409 {
+		t.Errorf("a search in hand: %+v", a)
+	}
+	for _, c := range held {
+		c.Close()
+	}
+	p.stop()
+}
+
+// TestStreams: a connection carries so many calls, further ones open another.
+func TestStreams(t *testing.T) {
+	p := serving(t, "STREAMS", "1")
+	hold := make(chan struct{})
+	for _, n := range p.nodes {
+		n.note(func() { n.hold = hold })
+	}
+	done := make(chan answer)
+	for range 4 {
+		r := p.request("all", search(0))
+		go func() { done <- p.send(r) }()
+	}
+	p.until(t, "four connections", func() bool { return p.nodes[0].conns+p.nodes[2].conns == 4 })
+	close(hold)
+	for range 4 {
+		if a := <-done; a.Status != 200 {
+			t.Errorf("%+v", a)
+		}
+	}
+	p.stop()
+}
+
+// TestColdNodes: Unix time in the list maps onto the module's clock; what started just now is fed
+// slowly, what started before this program did is warm.
+func TestColdNodes(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		cold bool
+	}{{0, true}, {time.Hour, false}} {
+		p := serving(t, "BORN", strconv.FormatInt(time.Now().Add(-c.age).UnixMilli(), 10), `"fall":1000`, `"fall":900`)
+		began := time.Now()
+		for range 3 { // one each for the two holders, and one more
+			p.whole("all", []int{0}, 0)
+		}
+		// The third waits until the guard's window has passed for one of the holders.
+		if took := time.Since(began); (took > 600*time.Millisecond) != c.cold {
+			t.Errorf("nodes %s old: took %s", c.age, took)
+		}
+		p.stop()
+	}
+}
+
+// TestRandomTroubles: whatever the nodes do, every search gets one answer in its time, no answer
+// has a value that no node gave, and none is marked whole that is not.
+func TestRandomTroubles(t *testing.T) {
+	p := serving(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		script := rapid.SliceOfN(rapid.SampledFrom([]string{"hit", "hit", "hit", "fault", "overload", "reset", "nothing"}),
+			1, 30).Draw(rt, "script")
+		at := 0
+		hits := map[string]bool{}
+		for _, n := range p.nodes {
+			n.do(func(a asked) string {
+				at++
+				hits[a.id] = script[at%len(script)] == "hit" || hits[a.id]
+				return script[at%len(script)]
+			})
+		}
+		kinds := rapid.SliceOfN(rapid.SampledFrom([]string{"all", "any", "two", "once"}), 1, 5).Draw(rt, "searches")
+		left := rapid.IntRange(40, 400).Draw(rt, "left")
+		done := make(chan string, len(kinds))
+		for _, kind := range kinds {
+			r := p.request(kind, search(0, 1, 2), "X-Expires-In", fmt.Sprintf("%dm", left))
+			id := r.Header.Get("X-Trace-Id")
+			go func() {
+				began := time.Now()
+				a := p.send(r)
+				took := time.Since(began)
+				p.Lock()
+				defer p.Unlock()
+				switch {
+				case took > time.Duration(left)*time.Millisecond+time.Second:
+					done <- fmt.Sprintf("%s took %s of %d ms", kind, took, left)
+					return
+				case a.Status == 500 || a.Status == 503:
+				case a.Status != 200 || !a.Finished:
+					done <- fmt.Sprintf("%s: %+v", kind, a)
+					return
+				}
+				for _, f := range a.Found {
+					part := fmt.Sprintf("%s.%d", id, f.Bucket)
+					if kind == "two" {
+						part += ".load"
+					}
+					if !hits[part] || f.Item != value(f.Bucket) {
+						done <- fmt.Sprintf("%s: no node gave %+v", kind, f)
+						return
+					}
+				}
+				if need := map[string]int{"all": 3, "any": 2, "two": 1, "once": 3}[kind]; a.Status == 200 && len(a.Found) < need {
+					done <- fmt.Sprintf("%s: whole with %+v", kind, a.Found)
+					return
+				}
+				done <- ""
+			}()
+		}
+		for range kinds {
+			if what := <-done; what != "" {
+				rt.Fatal(what)
+			}
+		}
+	})
+	p.stop()
+}
+
+func TestBadConfiguration(t *testing.T) {
+	for field, change := range map[string][]string{
+		"seed":                               {"8c1f30d27a5be964", "xyz"},
+		"limits":                             {`"cores":1.0`, `"cores":0`},
+		"known":                              {`"known":`, `"unknown":`},
+		"settings: tick":                     {`"tick":5`, `"tick":0`},
+		"settings: policyLimits.dialTimeout": {`"dialTimeout":300`, `"x":1`},
+		"settings: lanes[0].effect":          {"read_like", "odd"},
+		"settings: cells, reach and shards":  {`"places":2`, `"places":0`},
+		"discovery":                          {`"discovery":"127`, `"x":"127`},
+	} {
+		p := start(t, change...)
+		p.line("level=error", "field "+field)
+		<-p.exit
+		if p.cmd.ProcessState.ExitCode() != 1 {
+			t.Errorf("%s: ended with %d", field, p.cmd.ProcessState.ExitCode())
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,192 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	"pgregory.net/rapid"
+
+	"brackenfront/balance"
+)
+
+func TestMain(m *testing.M) {
+	// CI's verdict must not vary from run to run.
+	flag.Set("rapid.seed", "20261201")
+	flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func small() *Deployment {
+	return &Deployment{Kinds: map[string]int{"one": 0}, Dealers: map[string]int{"acme": 0}, Terms: balance.Terms{Shards: 9}}
+}
+
+func head(fields ...string) http.Header {
+	h := http.Header{}
+	for ; len(fields) > 0; fields = fields[2:] {
+		h.Set(fields[0], fields[1])
+	}
+	return h
+}
+
+func FuzzParseSearch(f *testing.F) {
+	f.Add("/one", "9b1f03aa5c7e2d41", "one", "480m", `{"buckets":[{"bucket":3,"part":0.5,"effort":9000},{"bucket":8,"part":0.5}],"body":"c41e77d0"}`)
+	f.Add("/one/x", "a", "", "1.5u", `{"buckets":[{"bucket":0,"part":1}],"body":"\u00e9\ud83d\ude00\\ufffd \ufffd"}`)
+	f.Add("/one", "a", "", "1e400m", `{"buckets":[{"bucket":0,"part":1}],"body":"\udc00"}`)
+	f.Add("/one", "a", "one", "5m", `{"buckets":[{"bucket":-1,"part":1e-300},{"bucket":1e9}],"body":null}`)
+	f.Add("/", "", "", "m", `[`)
+	f.Fuzz(func(t *testing.T, path, id, kind, left, body string) {
+		s, err := small().ParseSearch(path, head("X-Trace-Id", id, "X-Qos", kind, "X-Expires-In", left), []byte(body))
+		if err != nil {
+			if bad, ok := err.(*BadField); !ok || bad.Field == "" || bad.Want == "" {
+				t.Fatalf("an error that names no field: %v", err)
+			}
+			return
+		}
+		seen := map[int]bool{}
+		for _, p := range s.Parts {
+			if p.Shard < 0 || p.Shard >= 9 || seen[p.Shard] || !(p.Weight > 0 && p.Weight <= 1) {
+				t.Fatalf("took %+v", s.Parts)
+			}
+			seen[p.Shard] = true
+		}
+		if len(s.Parts) == 0 || !(s.Left > 0) || !plain(s.ID) || !utf8.ValidString(s.Text) {
+			t.Fatalf("took %+v", s)
+		}
+		// The text must come back as it stood: a node and an answer get what the client sent.
+		raw, _ := json.Marshal(s.Text)
+		if !strings.ContainsRune(s.Text, utf8.RuneError) && !faithful(raw, s.Text) {
+			t.Fatalf("%q does not stand for %q", raw, s.Text)
+		}
+	})
+}
+
+func FuzzReadFrame(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x05Chit!"))
+	f.Add([]byte("\x00\x00\x00\x04Chit\x00\x00\x00\x10Ea.1 hit 7 x=1\nvv"))
+	f.Add([]byte("\x00\x00\x00\x00"))
+	f.Add([]byte("\xff\xff\xff\xffE"))
+	f.Add([]byte("\x00\x00\x00\x0eEa.1 fault - -\n"))
+	f.Add([]byte("\x00\x00\x00\x09E\n hit 1 -"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := bytes.NewReader(in)
+		for {
+			at := len(in) - r.Len()
+			letter, rest, err := ReadFrame(r)
+			if err != nil {
+				return
+			}
+			if again := append([]byte{in[at], in[at+1], in[at+2], in[at+3], letter}, rest...); !bytes.HasPrefix(in[at:], again) {
+				t.Fatalf("%q read as %c %q", in[at:], letter, rest)
+			}
+			if e, err := ParseReply(rest); err == nil && !bytes.HasPrefix(rest, []byte(e.ID+" ")) {
+				t.Fatalf("%q read as %+v", rest, e)
+			}
+			ParseProbe(rest)
+		}
+	})
+}
+
+func FuzzParseListing(f *testing.F) {
+	f.Add([]byte(`{"seq":41,"whole":true,"hosts":[{"host":"s","dial":"127.0.0.1:1","site":"a","block":3,"health":"active","born_ms":1500}]}`))
+	f.Add([]byte(`{"seq":41,"whole":false,"hosts":[{"host":"s","dial":"x","block":-1,"health":"left"}]}`))
+	f.Add([]byte(`{"seq":41}`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		l, err := ParseListing(in)
+		for _, h := range l.Hosts {
+			if err == nil && (h.Name == "" || h.Dial == "" || h.Cell < 0) {
+				t.Fatalf("took %+v", h)
+			}
+		}
+	})
+}
+
+func TestListing(t *testing.T) {
+	l, err := ParseListing([]byte(`{"seq":41,"whole":true,"hosts":[
+		{"host":"s","dial":"127.0.0.1:1","site":"a","class":"m2","block":3,"health":"leaving","share":1.0,"born_ms":1500}]}`))
+	if want := (Host{"s", "127.0.0.1:1", "a", 3, balance.Draining, 1.5}); err != nil || len(l.Hosts) != 1 || l.Hosts[0] != want {
+		t.Fatalf("%+v %v", l, err)
+	}
+	if _, err := ParseListing([]byte(`{"seq":1,"whole":true,"hosts":[{"host":"s","dial":"x","block":1,"health":"well"}]}`)); err == nil {
+		t.Fatal("took a standing that is none")
+	}
+}
+
+// TestValuesPass: whatever text a node gave stands in the answer, and only for its shard.
+func TestValuesPass(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		values := rapid.SliceOf(rapid.String()).Draw(rt, "values")
+		var found []Found
+		for i, v := range values {
+			if !utf8.ValidString(v) {
+				rt.Skip("no text")
+			}
+			found = append(found, Found{i, []byte(v)})
+		}
+		whole := rapid.Bool().Draw(rt, "whole")
+		var a struct {
+			Finished bool
+			Found    []struct {
+				Bucket int
+				Item   string
+			}
+		}
+		if err := json.Unmarshal(AppendAnswer(nil, whole, found), &a); err != nil {
+			rt.Fatal(err)
+		}
+		if a.Finished != whole || len(a.Found) != len(values) {
+			rt.Fatalf("got %+v", a)
+		}
+		for i, v := range values {
+			if a.Found[i].Bucket != i || a.Found[i].Item != v {
+				rt.Fatalf("%q came as %+v", v, a.Found[i])
+			}
+		}
+	})
+}
+
+func TestFrames(t *testing.T) {
+	b := AppendCall(nil, []Asked{{"9b1f03aa5c7e2d41.3", 3, 0.24, "", "c41e77d0"}, {"q.1.load", 1, 0.0001, ",from=1+3,whole=0", "a\nb"}})
+	b = AppendProbe(AppendGiveUp(b, "q.1"))
+	want := []string{"A9b1f03aa5c7e2d41.3 3 d=240 8\nc41e77d0q.1.load 1 d=1,from=1+3,whole=0 3\na\nb", "Bq.1", "C"}
+	r := bytes.NewReader(b)
+	for _, w := range want {
+		letter, rest, err := ReadFrame(r)
+		if got := string(letter) + string(rest); err != nil || got != w {
+			t.Fatalf("%q %v, want %q", got, err, w)
+		}
+	}
+	e, err := ParseReply([]byte("9b1f03aa5c7e2d41.3 hit 1840277719 inflight=7,util=0.61\nva\nlue"))
+	if err != nil || e.How != balance.OK || e.Score != 1840277719 || string(e.Value) != "va\nlue" {
+		t.Fatalf("%+v %v", e, err)
+	}
+	for in, want := range map[string]balance.Outcome{"a.1 fault 0 -\n": balance.Errored, "a.1 overload - -\n": balance.Full} {
+		if e, err := ParseReply([]byte(in)); err != nil || e.How != want {
+			t.Fatalf("%q: %+v %v", in, e, err)
+		}
+	}
+}
+
+// TestBoot: the configuration may leave to the environment what stands there, and names what it lacks.
+func TestBoot(t *testing.T) {
+	env := func(field string) string { return map[string]string{"listen": "127.0.0.1:9"}[field] }
+	_, err := ParseBoot([]byte(`{"name":"n","discovery":"x"}`), env)
+	if err == nil || err.Error() != "configuration: field limits: missing" {
+		t.Fatal(err)
+	}
+	for _, raw := range []string{`{`, `{"name":7}`, `[]`} {
+		if _, err := ParseBoot([]byte(raw), env); err == nil {
+			t.Errorf("took %s", raw)
+		}
+	}
+	if _, err := ParseSettings([]byte(`{"lanes":[{"name":"a"}]}`), 1); err == nil || !strings.Contains(fmt.Sprint(err), "familyInfo") {
+		t.Error(err)
+	}
+}
--- a/internal/routing/tripper.go
+++ b/internal/routing/tripper.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,8 @@
 	if errors.As(err, &large) {
 		return t.refuse(req, http.StatusRequestEntityTooLarge,
 			fmt.Sprintf("body: expected %d bytes at most", protocol.MaxBody))
+	} else if errors.Is(err, os.ErrDeadlineExceeded) {
+		return t.refuse(req, http.StatusRequestTimeout, fmt.Sprintf("body: expected whole within %s", t.r.d.Longest))
 	} else if err != nil {
 		t.bad.Add(1)
 		return nil, err
@@ -89,7 +92,8 @@
 }
 
 func reply(req *http.Request, code int, body []byte) *http.Response {
-	h := make(http.Header, 2)
+	h := make(http.Header, 3)
+	h.Set("Content-Length", strconv.Itoa(len(body))) // so that a client can tell when an answer is cut short
 	if body != nil {
 		h.Set("Content-Type", "application/json")
 	}
--- a/internal/transport/clients/conn.go
+++ b/internal/transport/clients/conn.go
@@ -21,6 +21,16 @@
 	idle   bool // between requests, as far as the server knows
 	idleAt time.Time
 	served int
+	halted bool // the server broke off a read of its own
+}
+
+// SetReadDeadline guards against taking the server's own break for a slow client: while a search
+// is in hand the server waits for the client to leave, and ends that wait by a time long past.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.halted = !t.IsZero() && t.Before(time.Now())
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
 }
 
 // why notes the first reason.
@@ -53,7 +63,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.idle {
+		if c.halted {
+			return ""
+		} else if c.idle {
 			return "idle"
 		}
 		return "slow"
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -64,21 +65,47 @@
 		Transport: transport,
 		Rewrite: func(p *httputil.ProxyRequest) {
 			p.Out.URL.Scheme, p.Out.URL.Host = "http", p.In.Host
+			if p.Out.Body == nil { // the proxy's word for a request without a body
+				p.Out.Body = http.NoBody
+			}
 			// Guards against a body that grows without end while it is read.
 			p.Out.Body = http.MaxBytesReader(nil, p.Out.Body, protocol.MaxBody)
 		},
 		ErrorHandler: s.failed,
 		ErrorLog:     quiet,
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.Handle("/", proxy)
-	s.http = http.Server{Handler: mux, ReadTimeout: l.Request, IdleTimeout: l.Idle, MaxHeaderBytes: protocol.MaxBody,
-		ConnState: s.state, ErrorLog: quiet,
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/healthz" {
+			return
+		}
+		// The bound is on reading the body alone: a read deadline that went on would pass for a client
+		// that left while its search is in hand.
+		rc := http.NewResponseController(w)
+		rc.SetReadDeadline(time.Now().Add(l.Request))
+		r.Body = &body{r.Body, func() { rc.SetReadDeadline(time.Time{}) }}
+		proxy.ServeHTTP(w, r)
+	}
+	// A request may take its bound to come, as long again in hand, and again to be answered.
+	s.http = http.Server{Handler: http.HandlerFunc(serve), ReadHeaderTimeout: l.Request, WriteTimeout: 3 * l.Request,
+		IdleTimeout: l.Idle, MaxHeaderBytes: protocol.MaxBody, ConnState: s.state, ErrorLog: quiet,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, key{}, c) }}
 	return s, nil
 }
 
+// body tells when it has been read whole.
+type body struct {
+	io.ReadCloser
+	whole func()
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.whole()
+	}
+	return n, err
+}
+
 type key struct{}
 
 // Addr is where it listens.
@@ -160,10 +187,17 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(idle, func(a, b *conn) int { return a.idleAt.Compare(b.idleAt) })
-	for _, c := range idle[:min(most-done, len(idle))] {
-		c.why("short")
-		c.Close()
-		done++
+	for _, c := range idle {
+		if done >= most {
+			break
+		}
+		c.mu.Lock()
+		if c.idle && c.code == "" { // still
+			c.code = "short"
+			done++
+			c.Conn.Close()
+		}
+		c.mu.Unlock()
 	}
 	return done
 }
--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -28,7 +28,7 @@
 	up, closed     bool
 	code           string
 	made, usedAt   time.Time
-	readAt, busyAt time.Time // the last bytes in; since when something has been out
+	readAt, busyAt time.Time // the last bytes in, none yet if zero; since when something has been out
 }
 
 // op is one thing to write.
@@ -40,7 +40,7 @@
 
 func (p *peer) open() *conn {
 	now := time.Now()
-	c := &conn{peer: p, wake: make(chan struct{}, 1), parts: map[string]*Part{}, made: now, usedAt: now, readAt: now}
+	c := &conn{peer: p, wake: make(chan struct{}, 1), parts: map[string]*Part{}, made: now, usedAt: now}
 	p.conns = append(p.conns, c)
 	p.fleet.count.Dialled++
 	p.fleet.ended.Add(1)
@@ -196,7 +196,7 @@
 		sock.Close()
 		return c.code, net.ErrClosed
 	}
-	c.up, c.readAt = true, time.Now()
+	c.up = true
 	c.rearm()
 	return "", nil
 }
--- /dev/null
+++ b/internal/transport/nodes/nodes_test.go
@@ -0,0 +1,253 @@
+package nodes
+
+import (
+	"flag"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"brackenfront/balance"
+	"brackenfront/internal/protocol"
+)
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "20261201")
+	flag.Set("rapid.nofailfile", "true")
+	flag.Set("rapid.checks", "30")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// far stands in for a node whose test writes its answers itself: frames come in on a channel.
+type far struct {
+	net.Listener
+	conns  chan net.Conn
+	frames chan string
+}
+
+func newFar(t testing.TB) *far {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &far{ln, make(chan net.Conn, 99), make(chan string, 9999)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			f.conns <- c
+			go func() {
+				for {
+					letter, rest, err := protocol.ReadFrame(c)
+					if err != nil {
+						f.frames <- "end"
+						return
+					}
+					f.frames <- string(letter) + string(rest)
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() { ln.Close() })
+	return f
+}
+
+func (f *far) addr() string { return f.Addr().String() }
+
+func say(c net.Conn, letter byte, rest string) {
+	n := len(rest) + 1
+	c.Write(append([]byte{byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n), letter}, rest...))
+}
+
+// owner hears how parts end.
+type owner chan protocol.Ended
+
+func (o owner) Ended(at, try int, e protocol.Ended) { o <- e }
+
+func ask(o Owner, id string) *Part {
+	return &Part{ID: id, Text: "t", Until: time.Now().Add(time.Second), Owner: o}
+}
+
+func fleet(t testing.TB, l Limits) *Fleet {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := NewFleet(l, log)
+	t.Cleanup(f.Close)
+	return f
+}
+
+var usual = Limits{Streams: 2, Connect: 5 * time.Second, Idle: time.Minute, Longest: time.Minute}
+
+func TestLateAnswerIsDropped(t *testing.T) {
+	n, f, o := newFar(t), fleet(t, usual), make(owner, 9)
+	p := ask(o, "a.1")
+	f.Ask(n.addr(), []*Part{p})
+	c := <-n.conns
+	if got := <-n.frames; !strings.HasPrefix(got, "Aa.1 0 d=") {
+		t.Fatal(got)
+	}
+	f.GiveUp(p)
+	f.GiveUp(p)
+	if got := <-n.frames; got != "Ba.1" {
+		t.Fatal(got)
+	}
+	f.Ask(n.addr(), []*Part{ask(o, "b.1")})
+	<-n.frames
+	say(c, 'E', "a.1 hit 1 -\nlate")
+	say(c, 'E', "b.1 hit 1 -\nx")
+	if e := <-o; e.ID != "b.1" || string(e.Value) != "x" {
+		t.Fatalf("%+v", e)
+	}
+	if k := f.Counts(); k.Strays != 1 || k.Given != 1 || k.Dialled != 1 {
+		t.Fatalf("%+v", k)
+	}
+}
+
+// TestNeverRan: only a part whose frame was not written whole is said never to have run.
+func TestNeverRan(t *testing.T) {
+	n, f, o := newFar(t), fleet(t, usual), make(owner, 9)
+	f.Ask(n.addr(), []*Part{ask(o, "a.1")})
+	c := <-n.conns
+	<-n.frames
+	c.Close()
+	if e := <-o; e.How != balance.Dropped {
+		t.Fatalf("written, then reset: %+v", e)
+	}
+	n.Close()
+	f.Ask(n.addr(), []*Part{ask(o, "a.1")})
+	if e := <-o; e.How != balance.Unreached {
+		t.Fatalf("refused: %+v", e)
+	}
+}
+
+func TestUnusedConnections(t *testing.T) {
+	for code, end := range map[string]func(f *Fleet, n *far){
+		"renewed": func(f *Fleet, n *far) { f.Renew(n.addr()) },
+		"short":   func(f *Fleet, n *far) { f.Shorten(9) },
+		"idle":    func(*Fleet, *far) {},
+	} {
+		l := usual
+		if code == "idle" { // ended well before the other side may close it
+			l.Connect, l.Idle = 100*time.Millisecond, 200*time.Millisecond
+		}
+		n, f, o := newFar(t), fleet(t, l), make(owner, 9)
+		f.Ask(n.addr(), []*Part{ask(o, "a.1")})
+		c := <-n.conns
+		<-n.frames
+		if f.Renew(n.addr()); f.Shorten(9) != 0 {
+			t.Fatal("closed while in use")
+		}
+		say(c, 'E', "a.1 hit 1 -\nx")
+		<-o
+		end(f, n)
+		if got := <-n.frames; got != "end" {
+			t.Fatal(got)
+		}
+		f.Close()
+		if k := f.Counts(); k.Codes[code] != 1 || k.Dialled != k.Closed {
+			t.Fatalf("%s: %+v", code, k)
+		}
+	}
+}
+
+// TestSilentConnection: a machine that went away keeps its connections open and mute.
+func TestSilentConnection(t *testing.T) {
+	l := usual
+	l.Longest = 100 * time.Millisecond
+	n, f, o := newFar(t), fleet(t, l), make(owner, 9)
+	f.Ask(n.addr(), []*Part{ask(o, "a.1")})
+	if e := <-o; e.How != balance.Dropped {
+		t.Fatalf("%+v", e)
+	}
+	l = usual
+	l.Connect = 100 * time.Millisecond
+	f = fleet(t, l)
+	heard := make(chan bool)
+	for range 2 { // the first probe's connection is not used for the second
+		f.Probe(n.addr(), func(ok bool) { heard <- ok })
+		if <-heard {
+			t.Fatal("a mute node passed a probe")
+		}
+	}
+	if k := f.Counts(); k.Dialled != 2 || k.Probes != 2 {
+		t.Fatalf("%+v", k)
+	}
+}
+
+func TestProbe(t *testing.T) {
+	n, f := newFar(t), fleet(t, usual)
+	heard := make(chan bool)
+	var sock net.Conn
+	for i, c := range []struct {
+		says string
+		ok   bool
+	}{{"hit", true}, {"fault", false}, {"what", false}} {
+		f.Probe(n.addr(), func(ok bool) { heard <- ok })
+		if got := <-n.frames; got != "C" {
+			t.Fatal(got)
+		}
+		if i == 0 {
+			sock = <-n.conns
+		}
+		say(sock, 'C', c.says)
+		if <-heard != c.ok {
+			t.Fatalf("%s: wanted %v", c.says, c.ok)
+		}
+	}
+}
+
+// TestEveryPartEndsOnce: whatever the node answers, breaks or leaves, each part is told of once; one
+// that was given up at most once.
+func TestEveryPartEndsOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n, f := newFar(t), fleet(t, usual)
+		defer n.Close()
+		var mu sync.Mutex
+		ended, given := map[string]int{}, map[string]bool{}
+		count := once(func(e protocol.Ended) {
+			mu.Lock()
+			defer mu.Unlock()
+			ended[e.ID]++
+		})
+		steps := rapid.SliceOfN(rapid.IntRange(0, 3), 1, 12).Draw(rt, "steps")
+		var sock net.Conn
+		for i, step := range steps {
+			id := string(rune('a'+i)) + ".0"
+			p := ask(count, id)
+			f.Ask(n.addr(), []*Part{p})
+			select {
+			case sock = <-n.conns:
+			default:
+			}
+			switch {
+			case step == 0:
+				f.GiveUp(p)
+				given[id] = true
+			case step == 1 && sock != nil:
+				sock.Close()
+			case step == 2 && sock != nil:
+				say(sock, 'E', id+" hit 1 -\nv")
+			}
+		}
+		f.Close() // ends all that is left, and waits
+		for i := range steps {
+			id := string(rune('a'+i)) + ".0"
+			if k := ended[id]; k > 1 || k == 0 && !given[id] {
+				rt.Fatalf("%s was told of %d times (given up: %v)", id, k, given[id])
+			}
+		}
+	})
+}
+
+type once func(protocol.Ended)
+
+func (o once) Ended(at, try int, e protocol.Ended) { o(e) }
--- a/internal/transport/nodes/part.go
+++ b/internal/transport/nodes/part.go
@@ -9,8 +9,8 @@
 	"brackenfront/internal/protocol"
 )
 
-// Owner is told how a part's sub-request ended: once, and not after GiveUp. It may be called from
-// any goroutine and may wait.
+// Owner is told how a part's sub-request ended, at most once. After GiveUp it is not told any more,
+// unless the end was on its way. It may be called from any goroutine and may wait.
 type Owner interface {
 	Ended(at, try int, e protocol.Ended)
 }
--- a/internal/transport/watch/watch.go
+++ b/internal/transport/watch/watch.go
@@ -36,6 +36,7 @@
 	told func(protocol.Listing)
 	lost func()
 	http http.Client
+	beat time.Duration
 	stop context.CancelFunc
 	end  sync.WaitGroup
 
@@ -50,15 +51,20 @@
 // ended; both may wait. Nothing happens before Start.
 func New(addr string, known protocol.Listing, wait time.Duration, log *logrus.Logger,
 	told func(protocol.Listing), lost func()) *Watch {
-	w := &Watch{addr: addr, seq: known.Seq, wait: wait, log: log, told: told, lost: lost}
+	w := &Watch{addr: addr, seq: known.Seq, wait: wait, log: log, told: told, lost: lost, beat: heartbeat}
 	d := net.Dialer{Timeout: heartbeat, KeepAlive: -1}
 	w.http.Transport = &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, Proxy: nil,
 		ResponseHeaderTimeout: missing * heartbeat}
 	return w
 }
 
-// Start begins to follow.
+// Start begins to follow; more calls change nothing, as it takes up lost watches by itself.
 func (w *Watch) Start() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stop != nil {
+		return
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
 	w.end.Add(1)
@@ -67,8 +73,12 @@
 
 // Close ends it and waits.
 func (w *Watch) Close() {
-	if w.stop != nil {
-		w.stop()
+	w.mu.Lock()
+	stop := w.stop
+	w.stop = func() {} // not to be started any more
+	w.mu.Unlock()
+	if stop != nil {
+		stop()
 		w.end.Wait()
 	}
 }
@@ -103,7 +113,7 @@
 		case <-ctx.Done():
 		case <-time.After(wait):
 		}
-		wait = min(2*wait, heartbeat)
+		wait = min(2*wait, w.beat)
 	}
 }
 
@@ -120,7 +130,7 @@
 	w.count.Watches++
 	w.mu.Unlock()
 	// Guards against a discovery that fell silent: the connection shows nothing of it.
-	quiet := time.AfterFunc(missing*heartbeat, cancel)
+	quiet := time.AfterFunc(missing*w.beat, cancel)
 	defer quiet.Stop()
 	res, err := w.http.Do(req)
 	if err != nil {
@@ -137,7 +147,7 @@
 	var line []byte
 	for {
 		chunk, err := r.ReadSlice('\n')
-		quiet.Reset(missing * heartbeat)
+		quiet.Reset(missing * w.beat)
 		line = append(line, chunk...)
 		if err == bufio.ErrBufferFull {
 			if len(line) > maxLine {
