--- a/cmd/brackenfront/main.go
+++ b/cmd/brackenfront/main.go
@@ -62,7 +62,7 @@
 	}
 	tripper := router.Tripper()
 	server, err := clients.Listen(boot.Listen, clients.Limits{Request: boot.Longest, Idle: boot.Idle,
-		Most: boot.Sockets - reserve(boot.Sockets), Pause: tick}, tripper, fleet, log)
+		Most: boot.Sockets - reserve(boot.Sockets), Pause: tick}, tripper, router.Ready, fleet, log)
 	if err != nil {
 		return err
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +24,8 @@
 	start  time.Time
 	epoch  float64 // the module's clock is Unix time in seconds, running on monotonically
 
+	ready atomic.Bool // a list with nodes in it has come
+
 	broker  *balance.Broker
 	now     float64
 	turn    time.Time
@@ -123,6 +126,9 @@
 	}
 }
 
+// Ready says whether there are nodes to send to.
+func (r *Router) Ready() bool { return r.ready.Load() }
+
 // Listed takes in a word of discovery.
 func (r *Router) Listed(l protocol.Listing) { r.post(func() { r.list(l) }) }
 
@@ -216,6 +222,9 @@
 			Started: h.Born})
 	}
 	r.count.Lists++
+	if len(entries) > 0 {
+		r.ready.Store(true)
+	}
 	r.broker.List(l.Whole, entries)
 }
 
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -53,14 +53,16 @@
 }
 
 // Listen opens the address and makes a server that answers by the given transport.
-func Listen(addr string, l Limits, transport http.RoundTripper, others Others, log *logrus.Logger) (*Server, error) {
+// ready says whether a search that came now could be decided on.
+func Listen(addr string, l Limits, transport http.RoundTripper, ready func() bool, others Others,
+	log *logrus.Logger) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{limits: l, others: others, log: log, ln: ln, conns: map[*conn]struct{}{}}
 	s.count.Codes = map[string]int{}
-	quiet := stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0)
+	quiet := stdlog.New(log.WriterLevel(logrus.WarnLevel), "", 0)
 	proxy := &httputil.ReverseProxy{
 		Transport: transport,
 		Rewrite: func(p *httputil.ProxyRequest) {
@@ -76,6 +78,9 @@
 	}
 	serve := func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/healthz" {
+			if !ready() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
 			return
 		}
 		// The bound is on reading the body alone: a read deadline that went on would pass for a client
--- a/internal/transport/nodes/fleet.go
+++ b/internal/transport/nodes/fleet.go
@@ -32,7 +32,7 @@
 
 // Counts are sums since the start.
 type Counts struct {
-	Dialled, Closed, Refused      int
+	Dialled, Closed               int
 	Parts, Given, Replies, Strays int
 	Probes                        int
 	BytesOut, BytesIn             int64
@@ -58,8 +58,12 @@
 func (f *Fleet) Ask(addr string, parts []*Part) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// Guards against sending what ended within the turn that meant to send it.
+	k := &call{parts: slices.DeleteFunc(slices.Clone(parts), func(p *Part) bool { return p.void })}
+	if k.out = len(k.parts); k.out == 0 {
+		return
+	}
 	c := f.room(addr)
-	k := &call{parts: slices.Clone(parts), out: len(parts)}
 	for _, p := range k.parts {
 		p.conn, p.call = c, k
 	}
@@ -73,6 +77,7 @@
 	defer f.mu.Unlock()
 	c := p.conn
 	if c == nil {
+		p.void = true
 		return
 	}
 	f.count.Given++
--- a/internal/transport/nodes/nodes_test.go
+++ b/internal/transport/nodes/nodes_test.go
@@ -112,6 +112,21 @@
 	}
 }
 
+// TestGivenUpBeforeAsked: a part may end within the turn that meant to send it.
+func TestGivenUpBeforeAsked(t *testing.T) {
+	n, f, o := newFar(t), fleet(t, usual), make(owner, 9)
+	p := ask(o, "a.1")
+	f.GiveUp(p)
+	f.Ask(n.addr(), []*Part{p})
+	f.Ask(n.addr(), []*Part{p, ask(o, "b.1")})
+	if got := <-n.frames; !strings.HasPrefix(got, "Ab.1 ") {
+		t.Fatal(got)
+	}
+	if k := f.Counts(); k.Parts != 1 || k.Dialled != 1 {
+		t.Fatalf("%+v", k)
+	}
+}
+
 // TestNeverRan: only a part whose frame was not written whole is said never to have run.
 func TestNeverRan(t *testing.T) {
 	n, f, o := newFar(t), fleet(t, usual), make(owner, 9)
--- a/internal/transport/nodes/part.go
+++ b/internal/transport/nodes/part.go
@@ -29,6 +29,7 @@
 	conn    *conn
 	call    *call
 	written bool // the last byte of its frame is with the system
+	void    bool // given up before it was asked
 }
 
 // call is the parts that share a frame, and one place on a connection.
