--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,94 @@
+// Command standin plays nodes for trying the router by hand: it listens on every address named on
+// its command line, prints what it is asked, and answers each part with the part's own text.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"brackenfront/internal/protocol"
+)
+
+// quiet bounds how long a connection may say nothing.
+const quiet = 10 * time.Minute
+
+func main() {
+	if len(os.Args) < 2 {
+		fmt.Fprintln(os.Stderr, "usage: standin ADDRESS ...")
+		os.Exit(2)
+	}
+	failed := make(chan error)
+	for _, addr := range os.Args[1:] {
+		go func() { failed <- listen(addr) }()
+	}
+	fmt.Fprintln(os.Stderr, "standin:", <-failed)
+	os.Exit(1)
+}
+
+func listen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go func() {
+			defer c.Close()
+			for r := bufio.NewReader(c); ; {
+				c.SetDeadline(time.Now().Add(quiet))
+				letter, rest, err := protocol.ReadFrame(r)
+				if err == nil {
+					err = answer(c, addr, letter, rest)
+				}
+				if err != nil {
+					fmt.Println(addr, "connection ended:", err)
+					return
+				}
+			}
+		}()
+	}
+}
+
+func answer(c net.Conn, addr string, letter byte, rest []byte) error {
+	switch letter {
+	case protocol.Call:
+		for len(rest) > 0 {
+			line, after, _ := bytes.Cut(rest, []byte{'\n'})
+			f := bytes.Fields(line)
+			if len(f) != 4 {
+				return fmt.Errorf("a call's line %q", line)
+			}
+			size, err := strconv.Atoi(string(f[3]))
+			if err != nil || size < 0 || size > len(after) {
+				return fmt.Errorf("a call's length %q", f[3])
+			}
+			fmt.Printf("%s asked %s %q\n", addr, line, after[:size])
+			if err := say(c, protocol.Reply, fmt.Sprintf("%s hit 1 -\n%s", f[0], after[:size])); err != nil {
+				return err
+			}
+			rest = after[size:]
+		}
+	case protocol.GiveUp:
+		fmt.Printf("%s given up %s\n", addr, rest)
+	case protocol.Probe:
+		return say(c, protocol.Probe, "hit")
+	default:
+		return fmt.Errorf("an unknown letter %q", letter)
+	}
+	return nil
+}
+
+func say(c net.Conn, letter byte, rest string) error {
+	b := binary.BigEndian.AppendUint32(nil, uint32(len(rest)+1))
+	_, err := c.Write(append(append(b, letter), rest...))
+	return err
+}
--- a/internal/transport/watch/watch.go
+++ b/internal/transport/watch/watch.go
@@ -17,11 +17,11 @@
 	"brackenfront/internal/protocol"
 )
 
-// heartbeat is how often a watch says at least an empty line; a few missing ones end it. What
-// discovery has to tell counts as told after three of them, whether it arrived or not.
+// heartbeat is how often a watch says at least an empty line. Two missing ones end it: whatever
+// discovery has to tell counts as told after three, and a new watch may still bring it before that.
 const (
 	heartbeat = 2 * time.Second
-	missing   = 3
+	missing   = 2
 )
 
 // maxLine bounds one word of discovery.
@@ -106,7 +106,8 @@
 			return
 		}
 		w.lost()
-		if words > 0 {
+		// Guards against a discovery that ends, or spoils, every watch at once: only one that lasted counts.
+		if time.Since(began) > w.beat {
 			wait = w.wait
 		}
 		select {
