An asked-for list is followed; parts are given up in words only where that is allowed

Found by tests for deployments of other settings: where the list comes only when asked for, the first turn was taken before the way to ask was known (routing.New), so the list was never followed; Start takes it now. A part that timed out where cancels are not allowed was given up in a frame all the same (nodes.Fleet.GiveUp). New tests: calls that share a frame, time-outs without cancels, an asked-for list, advice to shed clients, a connect that never comes up, others served while one client stalls.

--- a/cmd/brackenfront/main.go
+++ b/cmd/brackenfront/main.go
@@ -48,7 +48,7 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(boot.Cores))))
 
 	fleet := nodes.NewFleet(nodes.Limits{Streams: boot.Streams, Connect: boot.Connect, Idle: boot.Idle,
-		Longest: boot.Longest}, log)
+		Longest: boot.Longest, Cancel: boot.Terms.MayCancel}, log)
 	router, err := routing.New(boot.Deployment, boot.Known, fleet, log)
 	if err != nil {
 		return fmt.Errorf("configuration: field settings: %w", err)
@@ -70,11 +70,11 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	served, drained := make(chan error, 1), make(chan struct{})
-	go router.Run()
+	router.Start()
 	go func() { served <- server.Serve() }()
 	counters := func() { report(log, router, tripper, fleet, server, list) }
 	log.WithField("name", boot.Name).WithField("listen", server.Addr()).WithField("nodes", len(boot.Known.Hosts)).
-		Info("serving")
+		WithField("memory", debug.SetMemoryLimit(-1)).WithField("processors", runtime.GOMAXPROCS(0)).Info("serving")
 
 	for draining := false; ; {
 		select {
--- a/cmd/brackenfront/program_test.go
+++ b/cmd/brackenfront/program_test.go
@@ -100,6 +100,7 @@
 	got   []asked
 	given []string
 	conns int
+	calls int
 	open  map[net.Conn]bool
 }
 
@@ -148,6 +149,7 @@
 		}
 		switch head[4] {
 		case 'A':
+			n.note(func() { n.calls++ })
 			for len(rest) > 0 {
 				line, after, _ := bytes.Cut(rest, []byte{'\n'})
 				f := strings.Split(string(line), " ")
@@ -299,10 +301,22 @@
 func serving(t testing.TB, change ...string) *program {
 	p := start(t, change...)
 	p.addr = regexp.MustCompile(`listen="([^"]+)"`).FindStringSubmatch(p.line("msg=serving"))[1]
-	<-p.watches
+	p.watched()
 	return p
 }
 
+// watched waits for a watch to begin and gives what it asked.
+func (p *program) watched() string {
+	p.t.Helper()
+	select {
+	case q := <-p.watches:
+		return q
+	case <-time.After(patience):
+		p.t.Fatal("waited in vain for a watch")
+	}
+	return ""
+}
+
 // line waits for a log line with all these words and gives it.
 func (p *program) line(words ...string) (found string) {
 	p.t.Helper()
@@ -383,6 +397,20 @@
 	return `{"buckets":[` + strings.Join(b, ",") + `],"body":"q\u00e9\n\"<x>"}`
 }
 
+// raw sends a request on a connection of its own.
+func (p *program) raw(r *http.Request) net.Conn {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { c.Close() })
+	if err := r.Write(c); err != nil {
+		p.t.Fatal(err)
+	}
+	return c
+}
+
 type answer struct {
 	Status   int
 	Finished bool
@@ -453,6 +481,7 @@
 			t.Fatalf("a node got %+v", g)
 		}
 	}
+	p.line("msg=serving", "memory=176160768 ", "processors=1")
 	p.cmd.Process.Signal(syscall.SIGUSR1)
 	if c := p.counters("searches"); c["taken"] != 1 || c["answered"] != 1 {
 		t.Fatalf("counters %v", c)
@@ -550,7 +579,7 @@
 	p.words <- `{"seq":42,"whole":false,"hosts":[` + p.nodes[0].entry("leaving") + `,` + p.nodes[1].entry("left") + `]}`
 	p.words <- `{"seq":43,"whole":false,"hosts":[{"host":"s-9"}]}` // not usable: the list in hand stays
 	p.line("side=discovery", "code=malformed")
-	if q := <-p.watches; q != "follow=1&since=42" {
+	if q := p.watched(); q != "follow=1&since=42" {
 		t.Fatalf("watches again from %s", q)
 	}
 	for range 4 {
@@ -567,7 +596,7 @@
 	p.words <- `{"seq":50,"whole":true,"hosts":[` + moved.entry("active") + `,` + p.nodes[3].entry("active") + `]}`
 	p.words <- "end"
 	p.line("side=discovery", "code=ended")
-	<-p.watches
+	p.watched()
 	p.whole("all", []int{0, 1}, 0, 1)
 	p.until(t, "the part at the new address", func() bool { return len(moved.got) == 1 })
 	p.stop()
@@ -578,11 +607,7 @@
 	for _, n := range p.nodes {
 		n.do(always("nothing"))
 	}
-	c, err := net.Dial("tcp", p.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.request("all", search(0, 1)).Write(c)
+	c := p.raw(p.request("all", search(0, 1)))
 	p.until(t, "both parts", func() bool { return len(p.nodes[0].got)+len(p.nodes[2].got) > 0 })
 	c.Close()
 	p.until(t, "both parts to be given up", func() (all bool) {
@@ -603,11 +628,7 @@
 // ends the program once all is answered.
 func TestDrain(t *testing.T) {
 	p := serving(t)
-	idle, err := net.Dial("tcp", p.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.request("all", search(0)).Write(idle)
+	idle := p.raw(p.request("all", search(0)))
 	r := bufio.NewReader(idle)
 	if res, err := http.ReadResponse(r, nil); err != nil || res.Close {
 		t.Fatalf("%v %v", res, err)
@@ -643,12 +664,7 @@
 	for _, n := range p.nodes {
 		n.do(always("nothing"))
 	}
-	c, err := net.Dial("tcp", p.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	p.request("all", search(0)).Write(c)
+	p.raw(p.request("all", search(0)))
 	p.until(t, "the part", func() bool { return len(p.nodes[0].got)+len(p.nodes[2].got) == 1 })
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	p.line("msg=draining")
@@ -718,7 +734,9 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
+	p.whole("all", []int{0}, 0)
 	io.WriteString(c, "POST /all HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n{")
+	p.whole("all", []int{0}, 0) // others are not held up
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil || res.StatusCode != 408 {
 		t.Fatalf("%v %v", res, err)
@@ -736,12 +754,8 @@
 	var held []net.Conn
 	first := p.request("all", search(0))
 	for _, r := range []*http.Request{first, p.request("all", search(0)), p.request("all", search(0, 2))} {
-		c, err := net.Dial("tcp", p.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
+		c := p.raw(r)
 		held = append(held, c)
-		r.Write(c)
 		p.until(t, "the parts", func() bool { return len(p.nodes[0].got)+len(p.nodes[2].got) >= len(held) })
 	}
 	p.until(t, "the parts", func() bool { return len(p.nodes[0].got)+len(p.nodes[2].got) == 4 })
@@ -759,6 +773,65 @@
 	p.stop()
 }
 
+// TestSharedCall: what goes to one node in one turn shares a call, as far as the settings say.
+func TestSharedCall(t *testing.T) {
+	p := serving(t, `"perCall":1`, `"perCall":2`, `"slices":4`, `"slices":6`)
+	p.whole("all", []int{0, 2, 4}, 0, 2, 4)
+	p.Lock()
+	calls := p.nodes[0].calls + p.nodes[2].calls
+	p.Unlock()
+	if calls != 2 {
+		t.Fatalf("three parts came in %d calls", calls)
+	}
+	p.stop()
+}
+
+// TestNoCancels: where nodes may not be told, a part times out by itself and goes to the other holder.
+func TestNoCancels(t *testing.T) {
+	p := serving(t, `"mayCancel":true`, `"mayCancel":false`)
+	asks := 0
+	for _, n := range p.nodes {
+		n.do(func(asked) string {
+			if asks++; asks == 1 {
+				return "nothing"
+			}
+			return "hit"
+		})
+	}
+	p.whole("all", []int{0}, 0)
+	p.stop()
+	if _, given := p.got(); len(given) > 0 || p.counters("sub-requests")["timeout"] != 1 {
+		t.Fatalf("given up %v, %v", given, p.counters("sub-requests"))
+	}
+}
+
+// TestAskedList: where the list comes only when asked for, the module has it followed.
+func TestAskedList(t *testing.T) {
+	p := serving(t, `"discovery":"pushed"`, `"discovery":"on_request"`)
+	p.words <- "end"
+	p.watched()
+	p.whole("all", []int{0}, 0)
+	p.stop()
+}
+
+// TestAdvice: a shed search says when to come back where clients are told.
+func TestAdvice(t *testing.T) {
+	p := serving(t, `"mayProbe":true`, `"mayProbe":true,"retryAfter":true,"maxRetryAfter":500`)
+	res, err := p.http.Do(p.request("all", search(0), "X-Expires-In", "10m")) // too little to begin with
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	if res.StatusCode != 503 || err != nil || after < 0.25 || after > 0.5 {
+		t.Fatalf("%d, Retry-After %q", res.StatusCode, res.Header.Get("Retry-After"))
+	}
+	if got, _ := p.got(); len(got) > 0 {
+		t.Fatalf("nodes got %v", got)
+	}
+	p.stop()
+}
+
 // TestReady: a program without any node in its list does not call itself healthy.
 func TestReady(t *testing.T) {
 	p := serving(t, `"whole":true,"hosts":[`, `"whole":true,"hosts":[],"x":[`)
@@ -775,7 +848,7 @@
 	}
 	p.words <- `{"seq":50,"whole":true,"hosts":[` + p.nodes[0].entry("active") + `]}`
 	p.words <- "end"
-	<-p.watches
+	p.watched()
 	if s := health(); s != 200 {
 		t.Fatalf("with a node: %d", s)
 	}
@@ -791,12 +864,7 @@
 		p := serving(t, `"sockets":256`, `"sockets":`+c.sockets)
 		shell = ""
 		for i := range 80 {
-			sock, err := net.Dial("tcp", p.addr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer sock.Close()
-			p.request("all", search(i%4)).Write(sock)
+			sock := p.raw(p.request("all", search(i%4)))
 			if res, err := http.ReadResponse(bufio.NewReader(sock), nil); err != nil || res.StatusCode != 200 {
 				t.Fatalf("client %d: %v %v", i, res, err)
 			}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -17,6 +17,7 @@
 	d      *protocol.Deployment
 	fleet  *nodes.Fleet
 	log    *logrus.Logger
+	known  protocol.Listing
 	follow func() // starts the watch where the list has to be asked for
 	calls  chan func()
 	halt   chan struct{}
@@ -72,18 +73,25 @@
 	if r.broker, err = balance.New(r, d.Terms); err != nil {
 		return nil, err
 	}
-	r.begin()
-	r.list(known)
-	r.finish()
+	r.known = known
 	return r, nil
 }
 
 // Follow says how to start the watch once the module asks for it.
 func (r *Router) Follow(start func()) { r.follow = start }
 
-// Run takes turns until Stop. A panic in it is meant to end the process: a router that is gone
-// must not leave a program that still takes searches.
-func (r *Router) Run() {
+// Start takes the first turn, with the list as last known, and goes on by itself until Stop. The
+// first turn may ask for the watch, so Follow has to come before.
+func (r *Router) Start() {
+	r.begin()
+	r.list(r.known)
+	r.finish()
+	go r.run()
+}
+
+// run takes turns. A panic in it is meant to end the process: a router that is gone must not leave
+// a program that still takes searches.
+func (r *Router) run() {
 	defer close(r.ended)
 	for {
 		r.arm()
@@ -110,7 +118,7 @@
 	}
 }
 
-// Stop ends Run and waits for it.
+// Stop ends it and waits.
 func (r *Router) Stop() {
 	close(r.halt)
 	<-r.ended
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	stdlog "log"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -147,10 +148,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.count
-	c.Codes = make(map[string]int, len(s.count.Codes))
-	for k, v := range s.count.Codes {
-		c.Codes[k] = v
-	}
+	c.Codes = maps.Clone(s.count.Codes)
 	return c
 }
 
--- a/internal/transport/nodes/fleet.go
+++ b/internal/transport/nodes/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	Connect time.Duration // until a connection has to be up; as long for a probe's answer
 	Idle    time.Duration // after which the other side may close an unused one
 	Longest time.Duration // the longest that any part is waited for
+	Cancel  bool          // nodes may be told that a part is given up
 }
 
 // Fleet holds the connections to all nodes. Its calls never wait for a socket.
@@ -83,7 +85,9 @@
 	f.count.Given++
 	if c.parts[p.ID] == p {
 		delete(c.parts, p.ID)
-		c.put(op{giveUp: p.ID})
+		if f.limits.Cancel {
+			c.put(op{giveUp: p.ID})
+		}
 	}
 	c.drop(p)
 }
@@ -141,10 +145,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.count
-	c.Codes = make(map[string]int, len(f.count.Codes))
-	for k, v := range f.count.Codes {
-		c.Codes[k] = v
-	}
+	c.Codes = maps.Clone(f.count.Codes)
 	return c
 }
 
--- a/internal/transport/nodes/nodes_test.go
+++ b/internal/transport/nodes/nodes_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"flag"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -85,7 +87,7 @@
 	return f
 }
 
-var usual = Limits{Streams: 2, Connect: 5 * time.Second, Idle: time.Minute, Longest: time.Minute}
+var usual = Limits{Streams: 2, Connect: 5 * time.Second, Idle: time.Minute, Longest: time.Minute, Cancel: true}
 
 func TestLateAnswerIsDropped(t *testing.T) {
 	n, f, o := newFar(t), fleet(t, usual), make(owner, 9)
@@ -144,6 +146,44 @@
 	}
 }
 
+// TestConnectTimeOut: a machine that is gone answers nothing, not even that nobody listens.
+func TestConnectTimeOut(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	for { // with its queue full, the system lets further connections wait
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	l := usual
+	l.Connect = 100 * time.Millisecond
+	f, o := fleet(t, l), make(owner, 9)
+	f.Ask(addr, []*Part{ask(o, "a.1")})
+	if e := <-o; e.How != balance.Unreached {
+		t.Fatalf("%+v", e)
+	}
+	f.Close()
+	if k := f.Counts(); k.Codes["unreached"] != 1 || k.Parts != 0 {
+		t.Fatalf("%+v", k)
+	}
+}
+
 func TestUnusedConnections(t *testing.T) {
 	for code, end := range map[string]func(f *Fleet, n *far){
 		"renewed": func(f *Fleet, n *far) { f.Renew(n.addr()) },
