--- a/cmd/brackenfront/main.go
+++ b/cmd/brackenfront/main.go
@@ -49,7 +49,7 @@
 
 	fleet := nodes.NewFleet(nodes.Limits{Streams: boot.Streams, Connect: boot.Connect, Idle: boot.Idle,
 		Longest: boot.Longest, Cancel: boot.Terms.MayCancel}, log)
-	router, err := routing.New(boot.Deployment, boot.Known, fleet, log)
+	router, err := routing.New(boot.Deployment, boot.Known, fleet)
 	if err != nil {
 		return fmt.Errorf("configuration: field settings: %w", err)
 	}
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -18,7 +18,6 @@
 type Exchange struct {
 	r      *Router
 	search *protocol.Search
-	came   time.Time
 	until  time.Time    // the client waits no longer
 	done   chan verdict // the final answer; holds one
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -4,8 +4,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"brackenfront/balance"
 	"brackenfront/internal/protocol"
 	"brackenfront/internal/transport/nodes"
@@ -16,7 +14,6 @@
 type Router struct {
 	d      *protocol.Deployment
 	fleet  *nodes.Fleet
-	log    *logrus.Logger
 	known  protocol.Listing
 	follow func() // starts the watch where the list has to be asked for
 	calls  chan func()
@@ -35,7 +32,6 @@
 	zones   map[string]int
 	nodes   map[string]int
 	addrs   []string
-	names   []string
 	places  []*Exchange
 	ids     map[string]*Exchange
 	out     []*piece
@@ -63,9 +59,9 @@
 const queued = 1024
 
 // New makes a router for a deployment and its list as last known.
-func New(d *protocol.Deployment, known protocol.Listing, fleet *nodes.Fleet, log *logrus.Logger) (*Router, error) {
+func New(d *protocol.Deployment, known protocol.Listing, fleet *nodes.Fleet) (*Router, error) {
 	now := time.Now()
-	r := &Router{d: d, fleet: fleet, log: log, follow: func() {}, calls: make(chan func(), queued),
+	r := &Router{d: d, fleet: fleet, follow: func() {}, calls: make(chan func(), queued),
 		halt: make(chan struct{}), ended: make(chan struct{}), start: now,
 		epoch: float64(now.UnixNano()) / 1e9, zones: map[string]int{d.Zone: 0}, nodes: map[string]int{},
 		ids: map[string]*Exchange{}, timer: time.NewTimer(time.Hour)}
@@ -222,7 +218,7 @@
 		if !ok {
 			at = len(r.addrs)
 			r.nodes[h.Name] = at
-			r.addrs, r.names = append(r.addrs, h.Dial), append(r.names, h.Name)
+			r.addrs = append(r.addrs, h.Dial)
 			r.batches = append(r.batches, nil)
 		}
 		r.addrs[at] = h.Dial
--- a/internal/routing/tripper.go
+++ b/internal/routing/tripper.go
@@ -50,7 +50,7 @@
 		return t.refuse(req, http.StatusBadRequest, err.Error())
 	}
 	left := time.Duration(min(s.Left, t.r.d.Longest.Seconds()) * float64(time.Second))
-	ex := &Exchange{r: t.r, search: s, came: came, until: came.Add(left), done: make(chan verdict, 1)}
+	ex := &Exchange{r: t.r, search: s, until: came.Add(left), done: make(chan verdict, 1)}
 	if !t.r.post(func() { t.r.take(ex) }) {
 		return reply(req, http.StatusServiceUnavailable, nil), nil
 	}
@@ -63,6 +63,11 @@
 		ex.gone()
 		return nil, req.Context().Err()
 	case <-timer.C:
+		select {
+		case v := <-ex.done:
+			return t.answer(req, v), nil
+		default:
+		}
 		// The module ends every search before this; it only guards against a router held up so long.
 		ex.gone()
 		return reply(req, http.StatusGatewayTimeout, nil), nil
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -40,6 +40,7 @@
 	others Others
 	log    *logrus.Logger
 	http   http.Server
+	quiet  io.Closer // what the HTTP library has to say goes to the log through it
 	ln     net.Listener
 
 	mu    sync.Mutex
@@ -63,7 +64,9 @@
 	}
 	s := &Server{limits: l, others: others, log: log, ln: ln, conns: map[*conn]struct{}{}}
 	s.count.Codes = map[string]int{}
-	quiet := stdlog.New(log.WriterLevel(logrus.WarnLevel), "", 0)
+	words := log.WriterLevel(logrus.WarnLevel)
+	s.quiet = words
+	quiet := stdlog.New(words, "", 0)
 	proxy := &httputil.ReverseProxy{
 		Transport: transport,
 		Rewrite: func(p *httputil.ProxyRequest) {
@@ -141,6 +144,7 @@
 	if s.http.Shutdown(ctx) != nil {
 		s.http.Close()
 	}
+	s.quiet.Close()
 }
 
 // Counts gives the sums.
