--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -54,14 +54,11 @@
 	Lists                                                 int
 }
 
-// queued bounds what waits for the router: enough that the sockets' goroutines rarely wait, and
-// what waits stays far below the memory that searches in hand take.
-const queued = 1024
-
-// New makes a router for a deployment and its list as last known.
+// New makes a router for a deployment and its list as last known. What waits for it is bounded by
+// the searches and parts that may be in hand at once; beyond that, sockets' goroutines wait.
 func New(d *protocol.Deployment, known protocol.Listing, fleet *nodes.Fleet) (*Router, error) {
 	now := time.Now()
-	r := &Router{d: d, fleet: fleet, follow: func() {}, calls: make(chan func(), queued),
+	r := &Router{d: d, fleet: fleet, follow: func() {}, calls: make(chan func(), d.Open),
 		halt: make(chan struct{}), ended: make(chan struct{}), start: now,
 		epoch: float64(now.UnixNano()) / 1e9, zones: map[string]int{d.Zone: 0}, nodes: map[string]int{},
 		ids: map[string]*Exchange{}, timer: time.NewTimer(time.Hour)}
