--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -51,6 +51,7 @@
 func (c *conn) put(o op) {
 	c.queue = append(c.queue, o)
 	c.usedAt = time.Now()
+	c.rearm() // guards against ending as unused between this and the write
 	c.nudge()
 }
 
