SIGHUP reads the configuration again and moves the watch to its discovery address

The file is read again; another discovery address is followed at once from the version in hand (watch.Move), so changes made meanwhile come with the first word of the new watch, and the broker is not told that the list is lost. A wrong file is logged with its field and changes nothing; fields that need a restart are named. It holds while draining, too.

It might hurt where a file names an address that is wrong: the list in hand then stays in use.

--- a/cmd/brackenfront/main.go
+++ b/cmd/brackenfront/main.go
@@ -44,8 +44,10 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(float64(boot.Memory) * (1 - spare)))
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(boot.Cores))))
+	// From the start on, and while draining, too: by default it would end the program.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	limit(boot)
 
 	fleet := nodes.NewFleet(nodes.Limits{Streams: boot.Streams, Connect: boot.Connect, Idle: boot.Idle,
 		Longest: boot.Longest, Cancel: boot.Terms.MayCancel}, log)
@@ -67,8 +69,6 @@
 		return err
 	}
 
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	served, drained := make(chan error, 1), make(chan struct{})
 	router.Start()
 	go func() { served <- server.Serve() }()
@@ -82,6 +82,16 @@
 			switch {
 			case s == syscall.SIGUSR1:
 				counters()
+			case s == syscall.SIGHUP:
+				again, err := configure()
+				if err != nil {
+					log.WithError(err).Error("the configuration could not be read again, the running one stays")
+					break
+				}
+				limit(again)
+				list.Move(again.Discovery)
+				log.WithField("discovery", again.Discovery).WithField("restart", boot.Differs(again)).
+					Info("configuration read again")
 			case draining:
 				return errors.New("a second signal came while draining")
 			default:
@@ -109,6 +119,12 @@
 	}
 }
 
+// limit applies what can change while the program runs.
+func limit(boot *protocol.Boot) {
+	debug.SetMemoryLimit(int64(float64(boot.Memory) * (1 - spare)))
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(boot.Cores))))
+}
+
 // reserve is how many descriptors are kept for what is no connection of clients or nodes, and
 // for those that are accepted or dialled while unused ones are being closed.
 func reserve(sockets int) int { return sockets / 8 }
--- a/cmd/brackenfront/program_test.go
+++ b/cmd/brackenfront/program_test.go
@@ -215,6 +215,7 @@
 	words   chan string // what discovery says next
 	watches chan string // the query of every watch that began
 	http    http.Client
+	config  string // the file
 
 	lines []string
 	over  bool
@@ -228,45 +229,18 @@
 	for i := range 4 {
 		p.nodes = append(p.nodes, newNode(t, p.events, fmt.Sprintf("s-%d", i), i%2))
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	stop := make(chan struct{})
-	discovery := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.(http.Flusher).Flush()
-		p.watches <- r.URL.RawQuery
-		for {
-			select {
-			case word := <-p.words:
-				if word == "end" {
-					return
-				}
-				io.WriteString(w, strings.ReplaceAll(word, "BORN", "0")+"\n")
-				w.(http.Flusher).Flush()
-			case <-r.Context().Done():
-				return
-			case <-stop:
-				return
-			}
-		}
-	})}
-	go discovery.Serve(ln)
-	t.Cleanup(func() { close(stop); discovery.Close() })
 	var hosts []string
 	for _, n := range p.nodes {
 		hosts = append(hosts, n.entry("active"))
 	}
 	config := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":256},
-		"known":{"seq":41,"whole":true,"hosts":[%s]},"settings":%s}`, ln.Addr(), strings.Join(hosts, ","), settings)
+		"known":{"seq":41,"whole":true,"hosts":[%s]},"settings":%s}`, p.discovery(), strings.Join(hosts, ","), settings)
 	config = strings.NewReplacer(append(change, "MAXOPEN", "200", "STREAMS", "32", "BORN", "0")...).Replace(config)
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	p.config = filepath.Join(t.TempDir(), "config.json")
+	p.rewrite(func(string) string { return config })
 	p.cmd = exec.Command("/bin/sh", "-c", os.Getenv("BRACKENFRONT_TEST_SHELL")+` exec "$0"`, os.Args[0])
-	p.cmd.Env = append(os.Environ(), "BRACKENFRONT_TEST_MAIN=1", "ROUTER_CONFIG="+path)
+	p.cmd.Env = append(os.Environ(), "BRACKENFRONT_TEST_MAIN=1", "ROUTER_CONFIG="+p.config)
 	pipe, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -292,6 +266,45 @@
 	return p
 }
 
+// discovery starts one and gives its address.
+func (p *program) discovery() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	discovery := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		p.watches <- r.URL.RawQuery
+		for {
+			select {
+			case word := <-p.words:
+				if word == "end" {
+					return
+				}
+				io.WriteString(w, strings.ReplaceAll(word, "BORN", "0")+"\n")
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			case <-stop:
+				return
+			}
+		}
+	})}
+	go discovery.Serve(ln)
+	p.t.Cleanup(func() { close(stop); discovery.Close() })
+	return ln.Addr().String()
+}
+
+// rewrite changes the configuration file.
+func (p *program) rewrite(change func(config string) string) {
+	p.t.Helper()
+	raw, _ := os.ReadFile(p.config)
+	if err := os.WriteFile(p.config, []byte(change(string(raw))), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
 // serving starts a program and waits until it serves.
 func serving(t testing.TB, change ...string) *program {
 	p := start(t, change...)
@@ -670,3 +683,45 @@
 		t.Fatalf("ended with %d", code)
 	}
 }
+
+// TestReload: SIGHUP moves the watch to the address that the file names now, from the version in
+// hand; searches in hand go on, and a file that is wrong changes nothing.
+func TestReload(t *testing.T) {
+	p := serving(t)
+	hold := make(chan struct{})
+	for _, n := range p.nodes {
+		n.note(func() { n.hold = hold })
+	}
+	r := p.request("all", search(0))
+	held := make(chan answer)
+	go func() { held <- p.send(r) }()
+	p.until(t, "the part", func() bool { return len(p.nodes[0].got)+len(p.nodes[2].got) == 1 })
+	p.words <- `{"seq":42,"whole":false,"hosts":[` + p.nodes[0].entry("leaving") + `]}`
+	p.words <- "end"
+	if q := p.watched(); q != "follow=1&since=42" {
+		t.Fatalf("watches from %s", q)
+	}
+	var old string
+	p.rewrite(func(config string) string { old = config; return strings.Replace(config, `"seed"`, `"seen"`, 1) })
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.line("level=error", "field seed", "the running one stays")
+	next := p.discovery()
+	p.rewrite(func(string) string {
+		return strings.Replace(regexp.MustCompile(`"discovery":"[^"]+"`).ReplaceAllString(old, `"discovery":"`+next+`"`),
+			`"tick":5`, `"tick":6`, 1)
+	})
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.line("configuration read again", "restart=\"[settings]\"", next)
+	if q := p.watched(); q != "follow=1&since=42" {
+		t.Fatalf("watches from %s", q)
+	}
+	p.line("side=discovery", "code=moved")
+	close(hold)
+	if a := <-held; a.Status != 200 {
+		t.Fatalf("got %+v", a)
+	}
+	p.whole("all", []int{0}, 0)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Process.Signal(syscall.SIGHUP) // and while it drains
+	p.ends()
+}
--- a/internal/protocol/boot.go
+++ b/internal/protocol/boot.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"strconv"
 )
 
@@ -74,3 +75,22 @@
 	}
 	return b, nil
 }
+
+// Differs names the fields of a newer configuration that only a restart puts in force. The seed is
+// new in each file and the list is discovery's to tell, so neither counts.
+func (b *Boot) Differs(newer *Boot) (fields []string) {
+	was, is := *b.Deployment, *newer.Deployment
+	is.Terms.Seed = was.Terms.Seed
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"name", b.Name == newer.Name}, {"listen", b.Listen == newer.Listen},
+		{"limits.sockets", b.Sockets == newer.Sockets}, {"settings", reflect.DeepEqual(was, is)},
+	} {
+		if !f.same {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
+}
--- a/internal/transport/watch/watch.go
+++ b/internal/transport/watch/watch.go
@@ -29,7 +29,6 @@
 
 // Watch follows discovery until it is stopped.
 type Watch struct {
-	addr string
 	seq  int64
 	wait time.Duration // before the second try; it doubles up to a heartbeat
 	log  *logrus.Logger
@@ -41,6 +40,8 @@
 	end  sync.WaitGroup
 
 	mu    sync.Mutex
+	addr  string
+	turn  context.CancelFunc // ends the watch that runs, or the wait for the next
 	count Counts
 }
 
@@ -51,7 +52,8 @@
 // ended; both may wait. Nothing happens before Start.
 func New(addr string, known protocol.Listing, wait time.Duration, log *logrus.Logger,
 	told func(protocol.Listing), lost func()) *Watch {
-	w := &Watch{addr: addr, seq: known.Seq, wait: wait, log: log, told: told, lost: lost, beat: heartbeat}
+	w := &Watch{addr: addr, seq: known.Seq, wait: wait, log: log, told: told, lost: lost, beat: heartbeat,
+		turn: func() {}}
 	d := net.Dialer{Timeout: heartbeat, KeepAlive: -1}
 	w.http.Transport = &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, Proxy: nil,
 		ResponseHeaderTimeout: missing * heartbeat}
@@ -71,6 +73,17 @@
 	go w.run(ctx)
 }
 
+// Move goes on at another address, at once and from the version in hand: what changed while no watch
+// was open comes with the first word of the next.
+func (w *Watch) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr != w.addr {
+		w.addr = addr
+		w.turn()
+	}
+}
+
 // Close ends it and waits.
 func (w *Watch) Close() {
 	w.mu.Lock()
@@ -94,35 +107,50 @@
 	defer w.end.Done()
 	wait := w.wait
 	for ctx.Err() == nil {
+		turn, cancel := context.WithCancel(ctx)
+		w.mu.Lock()
+		addr := w.addr
+		w.turn = cancel
+		w.mu.Unlock()
 		began := time.Now()
-		words, code, err := w.follow(ctx)
-		entry := w.log.WithField("side", "discovery").WithField("peer", w.addr).WithField("code", code).
+		words, code, err := w.follow(turn, addr)
+		if turn.Err() != nil && ctx.Err() == nil {
+			code, err = "moved", nil
+		}
+		entry := w.log.WithField("side", "discovery").WithField("peer", addr).WithField("code", code).
 			WithField("words", words).WithField("ms", time.Since(began).Milliseconds())
 		if err != nil {
 			entry = entry.WithError(err)
 		}
 		entry.Info("connection ended")
 		if ctx.Err() != nil {
+			cancel()
 			return
 		}
+		if turn.Err() != nil { // nothing is lost that the next watch does not bring
+			wait = w.wait
+			continue
+		}
 		w.lost()
 		// Guards against a discovery that ends, or spoils, every watch at once: only one that lasted counts.
 		if time.Since(began) > w.beat {
 			wait = w.wait
 		}
 		select {
-		case <-ctx.Done():
+		case <-turn.Done():
+			wait = w.wait / 2
 		case <-time.After(wait):
 		}
+		cancel()
 		wait = min(2*wait, w.beat)
 	}
 }
 
 // follow holds one watch until it ends.
-func (w *Watch) follow(ctx context.Context) (words int, code string, err error) {
+func (w *Watch) follow(ctx context.Context, addr string) (words int, code string, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/v1/servers?follow=1&since=%d", w.addr, w.seq)
+	url := fmt.Sprintf("http://%s/v1/servers?follow=1&since=%d", addr, w.seq)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return 0, "broken", err
