Quick failures are no expected wait, and first tries are told by a vote

- Reply set a node's lateness to 1 s at each quick failure (a spoilt answer, a part turned away), and unlucky took it for time that the search would wait: 0.6 x 300 to 1,000 ms against targets of 300 and 500 ms.
Such failures now count apart (shy): for the choice of a node and for moves as before, but not for shedding.
- Take compared the time left with the longest ever seen.
A client shed at once asks again with more time than it gave its first try (1,171 ms after 1,125 of 1,340), and from then on every first try passed for a repeat that had waited 0.2 s.
The usual time is now found by majority vote; what differs from it, either way, is a repeat.

Ruled out: overload (no cap was in force), real lateness (median reply 31 ms), bad clients' requests (refused at the door).

It also covers nodes that fail fast for any reason. It might hurt where both holders of a shard fail at once for long: a search then uses its tries before it is shed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -69,9 +69,13 @@
 	q, k := b.take(), &b.kinds[kind]
 	q.kind, q.born, q.need = kind, b.now, k.need
 	q.aim, q.cutoff, q.value = b.now+min(k.aim, left), b.now+left-b.guard, k.value
-	// Guards against work for repeats that nobody can be served by in time: a client that asks
-	// again has less time left than on a first try, which tells how long it has waited.
-	if k.longest = max(k.longest, left); left < k.longest-b.period {
+	// Guards against work for repeats that nobody can be served by in time: a client that asks again
+	// has not the time left of first tries, the most frequent (by majority vote); all have one end.
+	if math.Abs(left-k.first) <= b.period {
+		k.votes = min(k.votes+1, 100)
+	} else if k.votes--; k.votes < 0 {
+		k.first, k.votes = left, 1
+	} else {
 		if q.aim = min(q.aim, b.now+left-k.grace); q.aim <= b.now {
 			q.aim, q.value = b.now+k.aim, q.value*k.late
 		}
@@ -129,7 +133,7 @@
 		}
 	}
 	if how == Full || how == Errored || how == Unreached || how == Dropped {
-		n.lat, n.latAt = max(n.lat, dull), b.now // one that fails fast must not look fast and draw more
+		n.failedAt = b.now
 	}
 	if how != OK && how != Full && how != Moot && how != Unreached && p.mayRun < 0 {
 		p.mayRun = p.sent
@@ -296,7 +300,7 @@
 				continue
 			}
 			at := b.pick(q, p)
-			if at < 0 || pass == 0 && b.lag(&b.nodes[at]) > limit {
+			if at < 0 || pass == 0 && b.shy(&b.nodes[at]) > limit {
 				continue
 			}
 			if p.tries > 0 {
@@ -368,7 +372,7 @@
 			if h == p.node || !b.open(n, b.kinds[q.kind].work, pass == 1) {
 				continue
 			}
-			lag := max(b.lag(n)-limit, 0)
+			lag := max(b.shy(n)-limit, 0)
 			// Guards against learning node by node that a zone, or the way there, has failed.
 			if b.zones[n.zone] > b.calm+margin {
 				lag += dull
@@ -424,6 +428,11 @@
 	return lag
 }
 
+// shy guards against drawing more to a node that fails fast; as nobody waits for it, none is shed for it.
+func (b *Broker) shy(n *node) float64 {
+	return max(b.lag(n), dull*math.Exp2((n.failedAt-b.now)/b.memory))
+}
+
 // unlucky sheds by chance under overload: the more of its target a search is expected to
 // use up, and the less value it brings for its work, the likelier.
 func (b *Broker) unlucky(q *Search, k *kind) bool {
@@ -462,8 +471,7 @@
 
 // heard takes in an answer.
 func (b *Broker) heard(n *node, p *part, k *kind, took float64) {
-	b.silent[p.rest] -= learnSilent * b.silent[p.rest]
-	b.zones[n.zone] -= learnZone * b.zones[n.zone]
+	b.silent[p.rest], b.zones[n.zone] = (1-learnSilent)*b.silent[p.rest], (1-learnZone)*b.zones[n.zone]
 	if b.away == 0 {
 		k.swing += learnUsual * (math.Abs(took-k.usual) - k.swing)
 		k.usual += learnUsual * (took - k.usual)
@@ -479,7 +487,7 @@
 			b.pace += learnFleet * (pace - b.pace)
 		}
 	}
-	n.overtaken = max(n.overtaken, p.sent)
+	n.overtaken, n.failedAt = max(n.overtaken, p.sent), n.failedAt-b.memory/2
 	n.good++
 	if n.sick && took < overdue*k.aim {
 		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
@@ -511,8 +519,7 @@
 // Probed says what a probe found.
 func (b *Broker) Probed(at int, ok bool) {
 	n := &b.nodes[at]
-	n.probing = false
-	if n.trial = n.sick && ok; n.sick && !ok {
+	if n.probing, n.trial = false, n.sick && ok; n.sick && !ok {
 		b.rest(n)
 	}
 }
@@ -551,14 +558,12 @@
 			continue
 		}
 		active++
-		n.good *= keep
-		n.bad *= keep
+		n.good, n.bad = n.good*keep, n.bad*keep
 		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+doubt))
 		if n.sick {
 			sick++
 		} else if n.started < 0 || b.now-n.started >= b.cold {
-			warm++
-			done += n.done.since(b.now - b.fall)
+			warm, done = warm+1, done+n.done.since(b.now-b.fall)
 		}
 	}
 	if b.active = active; active == 0 {
@@ -576,8 +581,7 @@
 		}
 		// Guards against leaving out so many that the rest is overloaded and looks sick in turn.
 		if !n.sick && n.bad/(n.good+n.bad+doubt) > median+margin && sick*mostSick < active {
-			n.sick = true
-			sick++
+			n.sick, sick = true, sick+1
 			b.rest(n)
 		}
 		if n.sick && !n.trial && !n.probing && b.now >= n.retryAt {
@@ -597,8 +601,7 @@
 			younger, k := p.younger, &b.kinds[p.q.kind]
 			if age := b.now - p.sent; age > overdue*k.aim {
 				if !p.late {
-					p.late = true
-					b.silent[p.rest] += learnSilent * (1 - b.silent[p.rest])
+					p.late, b.silent[p.rest] = true, b.silent[p.rest]+learnSilent*(1-b.silent[p.rest])
 					if b.blame(n, 1); p.sent > n.overtaken {
 						n.lat, n.latAt = max(n.lat, age), b.now
 					}
@@ -606,8 +609,7 @@
 				// Hung parts leave the cap, or the head search would hold its share of it for ever.
 				// Parts of a node that goes on answering are load like any other and stay.
 				if !p.hung && age > better*k.aim && n.heardAt < p.sent {
-					p.hung = true
-					b.flying--
+					p.hung, b.flying = true, b.flying-1
 				}
 				// Guards against feeding a jam: where replies are often slow, silence is a long line.
 				if age > k.usual+patience*k.swing {
@@ -654,11 +656,10 @@
 		q.waiting > 0 || q.coming() >= q.need-short {
 		return
 	}
-	if at := b.pick(q, p); at < 0 || b.lag(&b.nodes[at]) > better*age {
+	if at := b.pick(q, p); at < 0 || b.shy(&b.nodes[at]) > better*age {
 		return
 	}
-	p.dropped = true
-	b.owed++
+	p.dropped, b.owed = true, b.owed+1
 	n.delist(p)
 	b.host.Cancel(q, p.at, p.tries-1)
 }
@@ -672,13 +673,13 @@
 	}
 	for _, e := range entries {
 		for len(b.nodes) <= e.Node {
-			b.nodes = append(b.nodes, node{standing: Gone, started: -1, turn: -1})
+			b.nodes = append(b.nodes, node{standing: Gone, started: -1, turn: -1, failedAt: math.Inf(-1)})
 			b.seen = append(b.seen, 0)
 		}
 		n := &b.nodes[e.Node]
 		if e.Started > max(n.started, 0) && (n.known || b.now-e.Started < b.cold) {
 			n.started = e.Started
-			n.sick, n.trial, n.good, n.bad, n.lat = false, false, 0, 0, 0
+			n.sick, n.trial, n.good, n.bad, n.lat, n.failedAt = false, false, 0, 0, 0, math.Inf(-1)
 		}
 		n.known, n.cell, n.zone, n.standing = true, e.Cell, e.Zone, e.Standing
 		for len(b.zones) <= e.Zone {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -201,7 +201,9 @@
 
 func TestRepeatKeepsItsFirstTarget(t *testing.T) {
 	w := plain(t, 4)
-	w.ask(0, 4, 0) // target 1 s, time-out 4 s
+	for range 3 {
+		w.ask(0, 4, 0) // target 1 s, time-out 4 s
+	}
 	if q := w.ask(0, 3.4, 0).q; math.Abs(q.aim-w.now-0.4) > 1e-9 {
 		t.Fatalf("a client 0.6 s into its time has %.2f s to the target, want 0.4", q.aim-w.now)
 	}
@@ -210,6 +212,43 @@
 	}
 }
 
+// TestLongerRepeatIsNoFirstTry: a client that was turned away at once may ask again with more time
+// than it gave its first try; that must not make repeats of all first tries.
+func TestLongerRepeatIsNoFirstTry(t *testing.T) {
+	w := plain(t, 4)
+	for range 5 {
+		w.ask(0, 3.4, 0)
+	}
+	if q := w.ask(0, 3.5, 0).q; math.Abs(q.aim-w.now-0.5) > 1e-9 {
+		t.Fatalf("a client 0.5 s into its time has %.2f s to the target, want 0.5", q.aim-w.now)
+	}
+	if q := w.ask(0, 3.4, 0).q; math.Abs(q.aim-w.now-1) > 1e-9 {
+		t.Fatalf("a first try has %.2f s to its target, want 1", q.aim-w.now)
+	}
+}
+
+// TestQuickFailuresShedNobody: a failure that came at once has kept nobody waiting.
+func TestQuickFailuresShedNobody(t *testing.T) {
+	w := plain(t, 4)
+	for range 2 {
+		a := w.ask(0, 4, 0, 1)
+		for i, p := range a.parts {
+			w.reply(a, i, Errored)
+			for p.out {
+				w.reply(a, i, OK)
+			}
+		}
+	}
+	for range 20 {
+		if a := w.ask(0, 4, 0, 1); w.shed > 0 {
+			t.Fatal("shed though nothing is out and all replies came at once")
+		} else {
+			w.reply(a, 0, OK)
+			w.reply(a, 1, OK)
+		}
+	}
+}
+
 func TestNodeThatFailsFastDrawsNoMore(t *testing.T) {
 	w := plain(t, 4)
 	for range 20 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -12,7 +12,7 @@
 	aim, window, value, late float64
 	need, least, partial     float64
 	grace                    float64 // from the target to the client's time-out
-	longest                  float64 // the most time that a search had left
+	first, votes             float64 // the time that a first try has left, and what speaks for it
 	fetch                    int
 	effect                   Effect
 	work                     float64 // of a part, as learned
@@ -193,6 +193,7 @@
 	youngest   *part
 	pace       float64 // seconds a part that it holds for this broker
 	lat, latAt float64 // recent reply time, and when it was noted
+	failedAt   float64 // the last quick failure, set back by answers
 	heardAt    float64 // the last answer
 	usedAt     float64 // the last outcome
 	overtaken  float64 // the latest send that has been answered
