Connections on which nothing comes for half a target are closed, their parts sent anew

Node by node (lag, record and parts out, once a second) healthy nodes stood at 100 to 850 ms lateness: room() prefers the fullest connection, so a silent one drew all that followed, and what was out on it came back only at its end.

It also covers nodes that hang or vanish. It might hurt where a node takes longer than half a target for each answer: its work is then thrown away.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -317,7 +317,7 @@
 			}
 			if p.rest == 1 && b.silent[1] > b.silent[0]+margin {
 				p.rest = 0
-				b.host.Renew(at)
+				b.host.Renew(at, 0)
 			}
 			n.sent.add(b.now, k.work)
 			b.launch(p, at)
@@ -349,10 +349,7 @@
 				continue
 			}
 			b.seen[at] = b.stamp
-			cost += float64(b.nodes[at].calls)
-			if b.nodes[at].zone > 0 {
-				cost += 0.01
-			}
+			cost += float64(b.nodes[at].calls) + 0.01*float64(min(b.nodes[at].zone, 1))
 		}
 		if cost < best {
 			best, pick = cost, q.offset
@@ -487,8 +484,7 @@
 			b.pace += learnFleet * (pace - b.pace)
 		}
 	}
-	n.overtaken, n.failedAt = max(n.overtaken, p.sent), n.failedAt-b.memory/2
-	n.good++
+	n.overtaken, n.failedAt, n.good = max(n.overtaken, p.sent), n.failedAt-b.memory/2, n.good+1
 	if n.sick && took < overdue*k.aim {
 		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
 		// Guards against a node that fell silent and came back cold before the list tells.
@@ -606,6 +602,10 @@
 						n.lat, n.latAt = max(n.lat, age), b.now
 					}
 				}
+				// Guards against connections that fell silent: what is out on them may be sent anew.
+				if p == n.oldest && age > better*k.aim {
+					b.host.Renew(i, better*k.aim)
+				}
 				// Hung parts leave the cap, or the head search would hold its share of it for ever.
 				// Parts of a node that goes on answering are load like any other and stay.
 				if !p.hung && age > better*k.aim && n.heardAt < p.sent {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -467,3 +467,18 @@
 func (h *quiet) Send(*Search, int, int, float64) {}
 func (h *quiet) Answer(*Search, bool)            { h.answers++ }
 func (h *quiet) Wake(float64)                    {}
+
+// TestSilentConnectionsAreClosed: a part that is out for half of its target may be on a connection that
+// fell silent, whatever its node answers on others.
+func TestSilentConnectionsAreClosed(t *testing.T) {
+	w := plain(t, 2)
+	w.ask(0, 4, 0)
+	if w.pass(0.4); w.quiet != 0 {
+		t.Fatal("closed within the time that a part may take")
+	}
+	a := w.ask(0, 4, 0)
+	w.reply(a, 0, OK)
+	if w.pass(0.2); w.quiet != 0.5 {
+		t.Fatalf("closed after %g s, want 0.5", w.quiet)
+	}
+}
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -24,6 +24,7 @@
 	asks           []*ask
 	taken, further []float64
 	probes         []int
+	quiet          float64 // that silent connections were last closed for
 
 	watches, renewed, sends, cancels, answered, shed, errored int
 }
@@ -263,6 +264,11 @@
 
 func (w *world) Error(q *Search) { w.end(q); w.errored++ }
 func (w *world) Probe(node int)  { w.probes = append(w.probes, node) }
-func (w *world) Renew(node int)  { w.renewed++ }
+
+func (w *world) Renew(node int, quiet float64) {
+	if w.renewed++; quiet > 0 {
+		w.quiet, w.renewed = quiet, w.renewed-1
+	}
+}
 func (w *world) Watch()          { w.watches++ }
 func (w *world) Wake(at float64) { w.wakeAt = at }
--- a/balance/host.go
+++ b/balance/host.go
@@ -19,8 +19,9 @@
 	Error(q *Search)
 	// Probe tests a node; what it finds comes through Broker.Probed.
 	Probe(node int)
-	// Renew closes the unused connections to a node, so that the next Send opens one.
-	Renew(node int)
+	// Renew closes connections to a node, so that the next Send opens one: the unused ones for 0, else
+	// those on which nothing has come for so many seconds since something was asked there.
+	Renew(node int, quiet float64)
 	// Watch subscribes to the node list where it does not come unasked.
 	Watch()
 	// Wake asks for a Close at that time or soon after it.
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -106,7 +106,9 @@
 	r.fleet.Probe(r.addrs[node], func(ok bool) { r.post(func() { r.broker.Probed(node, ok) }) })
 }
 
-func (r *Router) Renew(node int) { r.fleet.Renew(r.addrs[node]) }
+func (r *Router) Renew(node int, quiet float64) {
+	r.fleet.Renew(r.addrs[node], time.Duration(quiet*float64(time.Second)))
+}
 
 func (r *Router) Watch() { r.follow() }
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -432,7 +432,10 @@
 	h.end()
 }
 
-func (h *host) Renew(node int) {
+func (h *host) Renew(node int, quiet float64) {
+	if quiet > 0 {
+		return // this wire closes unused connections only
+	}
 	h.action("DROP_CONNS")
 	h.str(h.addrs[node])
 	h.end()
--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -30,6 +30,7 @@
 	code           string
 	made, usedAt   time.Time
 	readAt, busyAt time.Time // the last bytes in, none yet if zero; since when something has been out
+	askedAt        time.Time // the first call since the last bytes in; none if zero
 }
 
 // op is one thing to write.
@@ -270,6 +271,9 @@
 				c.given = append(c.given, o.giveUp)
 			}
 		}
+		if len(marks) > 0 && c.askedAt.IsZero() {
+			c.askedAt = time.Now()
+		}
 		c.queue = c.queue[:0]
 		c.rearm()
 		f.mu.Unlock()
@@ -404,7 +408,7 @@
 	f.mu.Lock()
 	f.count.BytesIn += int64(n)
 	if n > 0 {
-		r.c.readAt = time.Now()
+		r.c.readAt, r.c.askedAt = time.Now(), time.Time{}
 	}
 	f.mu.Unlock()
 	return n, err
--- a/internal/transport/nodes/fleet.go
+++ b/internal/transport/nodes/fleet.go
@@ -109,14 +109,17 @@
 	f.room(addr).probe(back)
 }
 
-// Renew closes the connections to a node on which nothing is out.
-func (f *Fleet) Renew(addr string) {
+// Renew closes the connections to a node on which nothing is out, or, where quiet is above 0, those on
+// which something was asked and nothing has come for so long.
+func (f *Fleet) Renew(addr string, quiet time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if p := f.peers[addr]; p != nil {
 		for _, c := range slices.Clone(p.conns) {
-			if c.unused() {
+			if quiet == 0 && c.unused() {
 				c.close("renewed")
+			} else if quiet > 0 && !c.askedAt.IsZero() && time.Since(c.askedAt) >= quiet {
+				c.close("silent")
 			}
 		}
 	}
--- a/internal/transport/nodes/nodes_test.go
+++ b/internal/transport/nodes/nodes_test.go
@@ -250,7 +250,7 @@
 
 func TestUnusedConnections(t *testing.T) {
 	for code, end := range map[string]func(f *Fleet, n *far){
-		"renewed": func(f *Fleet, n *far) { f.Renew(n.addr()) },
+		"renewed": func(f *Fleet, n *far) { f.Renew(n.addr(), 0) },
 		"short":   func(f *Fleet, n *far) { f.Shorten(9) },
 		"idle":    func(*Fleet, *far) {},
 	} {
@@ -262,7 +262,7 @@
 		f.Ask(n.addr(), []*Part{ask(o, "a.1")})
 		c := <-n.conns
 		<-n.frames
-		if f.Renew(n.addr()); f.Shorten(9) != 0 {
+		if f.Renew(n.addr(), 0); f.Shorten(9) != 0 {
 			t.Fatal("closed while in use")
 		}
 		say(c, 'E', "a.1 hit 1 -\nx")
@@ -302,6 +302,30 @@
 	}
 }
 
+// TestQuietConnection: one on which something was asked and nothing came may be closed with what is out
+// on it; not one that answers.
+func TestQuietConnection(t *testing.T) {
+	n, f, o := newFar(t), fleet(t, usual), make(owner, 9)
+	f.Ask(n.addr(), []*Part{ask(o, "a.1")})
+	sock := <-n.conns
+	<-n.frames
+	say(sock, 'E', "a.1 hit 1 -\nx")
+	<-o
+	if f.Renew(n.addr(), time.Nanosecond); f.Counts().Codes["silent"] > 0 {
+		t.Fatal("closed though nothing is owed")
+	}
+	f.Ask(n.addr(), []*Part{ask(o, "b.1")})
+	<-n.frames
+	f.Renew(n.addr(), time.Minute) // not for so long yet
+	f.Renew(n.addr(), time.Nanosecond)
+	if e := <-o; e.ID != "b.1" || e.How != balance.Dropped || <-n.frames != "end" {
+		t.Fatalf("%+v", e)
+	}
+	if k := f.Counts(); k.Dialled != 1 || k.Codes["silent"] != 1 {
+		t.Fatalf("%+v", k)
+	}
+}
+
 func TestProbe(t *testing.T) {
 	n, f := newFar(t), fleet(t, usual)
 	heard := make(chan bool)
