Lost parts move and press nothing; quick failures count by the shortest target

A trace of frames showed five of twelve nodes that never answer about a third of their parts while the same connection goes on answering others within 10 ms.

It covers lost answers of any kind. It might hurt where parts of one type differ by far more than twelve spreads.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 	margin   = 0.3  // failure share beyond the fleet's median that makes a node sick
 	mostSick = 4    // one node in so many may be left out for its record
 	loud     = 3.0  // weight of a failure that speaks of the whole node, not of one part
-	dull     = 1.0  // seconds that a failure counts for at least in a node's lateness
+	dull     = 0.8  // share of the shortest target that a failure counts for in a node's lateness
 	still    = 1.0  // seconds unused after which a connection may have been dropped unseen
 	judging  = 0.25 // seconds between judgements of the nodes
 	spread   = 1.0  // deviations that sends to cold nodes by lot keep clear of their limit
@@ -132,13 +132,16 @@
 			b.blame(n, 1)
 		}
 	}
-	if how == Full || how == Errored || how == Unreached || how == Dropped {
+	if how == Full { // a full queue is a wait
+		n.lat, n.latAt = max(n.lat, dull*b.tight), b.now
+	} else if how == Errored || how == Unreached || how == Dropped {
 		n.failedAt = b.now
 	}
 	if how != OK && how != Full && how != Moot && how != Unreached && p.mayRun < 0 {
 		p.mayRun = p.sent
 	}
-	if b.away == 0 && (how == Full || how == OK || p.late) {
+	// What is late though its node answers later ones tells of losses or of itself, not of strain.
+	if b.away == 0 && (how == Full || how == OK || p.late && p.sent > n.overtaken) {
 		b.press(how == Full || b.now-p.sent > better*k.aim)
 	}
 	switch {
@@ -372,7 +375,7 @@
 			lag := max(b.shy(n)-limit, 0)
 			// Guards against learning node by node that a zone, or the way there, has failed.
 			if b.zones[n.zone] > b.calm+margin {
-				lag += dull
+				lag += dull * b.tight
 			}
 			if j == 0 && lag == 0 {
 				return h
@@ -427,7 +430,7 @@
 
 // shy guards against drawing more to a node that fails fast; as nobody waits for it, none is shed for it.
 func (b *Broker) shy(n *node) float64 {
-	return max(b.lag(n), dull*math.Exp2((n.failedAt-b.now)/b.memory))
+	return max(b.lag(n), dull*b.tight*math.Exp2((n.failedAt-b.now)/b.memory))
 }
 
 // unlucky sheds by chance under overload: the more of its target a search is expected to
@@ -507,8 +510,7 @@
 }
 
 func (b *Broker) rest(n *node) {
-	n.trial = false
-	n.pause = min(max(2*n.pause, firstRest), lastRest)
+	n.trial, n.pause = false, min(max(2*n.pause, firstRest), lastRest)
 	n.retryAt = b.now + n.pause*(0.75+0.5*b.rand.next())
 }
 
@@ -553,8 +555,7 @@
 		if n.standing != Active {
 			continue
 		}
-		active++
-		n.good, n.bad = n.good*keep, n.bad*keep
+		active, n.good, n.bad = active+1, n.good*keep, n.bad*keep
 		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+doubt))
 		if n.sick {
 			sick++
@@ -623,7 +624,7 @@
 		next, k := q.next, &b.kinds[q.kind]
 		if b.now >= q.aim && !q.overran && q.flying > 0 {
 			q.overran = true
-			if b.away == 0 {
+			if b.away == 0 && (q.waiting > 0 || q.queued()) {
 				// By the share of the target it had: repeats with little time left tell less of strain.
 				b.slack *= 1 - slackDown*(q.aim-q.born)/k.aim
 			}
@@ -650,13 +651,13 @@
 		k.effect == Tokened && b.now+age > p.sent+k.window {
 		return
 	}
-	// Guards against sending costly parts round and round: what later ones have overtaken or
-	// was late at two nodes is slow by itself; not at a mute node.
-	if !p.hung && (p.sent <= n.overtaken || p.tries > 1) ||
+	// Guards against sending costly parts round and round: what later ones have overtaken (unless so long
+	// ago that it must be lost) or was late at two nodes is slow by itself; not at a mute node.
+	if !p.hung && (p.sent <= n.overtaken && age < k.usual+2*patience*k.swing || p.tries > 1) ||
 		q.waiting > 0 || q.coming() >= q.need-short {
 		return
 	}
-	if at := b.pick(q, p); at < 0 || b.shy(&b.nodes[at]) > better*age {
+	if at := b.pick(q, p); at < 0 || b.lag(&b.nodes[at]) > better*age {
 		return
 	}
 	p.dropped, b.owed = true, b.owed+1
@@ -708,7 +709,6 @@
 
 // Unlisted says that the node list could not be had, or that its subscription broke.
 func (b *Broker) Unlisted() {
-	b.watching = false
-	b.watchGap = min(max(2*b.watchGap, firstRest), lastRest)
+	b.watching, b.watchGap = false, min(max(2*b.watchGap, firstRest), lastRest)
 	b.watchAt = b.now + b.watchGap*(0.5+b.rand.next())
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -482,3 +482,46 @@
 		t.Fatalf("closed after %g s, want 0.5", w.quiet)
 	}
 }
+
+// TestLostPartsMove: a node that swallows a part goes on answering others, and another that failed
+// quickly a moment ago can still take it.
+func TestLostPartsMove(t *testing.T) {
+	w := plain(t, 4)
+	quick := func() {
+		a := w.ask(0, 4, 0)
+		w.pass(0.05)
+		w.reply(a, 0, OK)
+	}
+	for range 40 {
+		quick()
+	}
+	lost := w.ask(0, 4, 0)
+	p := lost.parts[0]
+	first := p.node
+	for len(w.sent[first]) < 60 && !p.cancelled {
+		w.b.nodes[2-first].failedAt = w.now // 0 and 2 hold the shard
+		quick()
+	}
+	if !p.cancelled || w.now-p.sent > 0.5 {
+		t.Fatalf("a lost part is not called off within %.2f s", w.now-p.sent)
+	}
+	if w.reply(lost, 0, Cancelled); p.node == first || !p.out {
+		t.Fatal("a lost part is not sent to the other holder")
+	}
+}
+
+// TestLostPartsAreNoStrain: they lower neither the cap nor what a search may use of its target.
+func TestLostPartsAreNoStrain(t *testing.T) {
+	w := plain(t, 2) // one holder a shard, so the part cannot move
+	lost := w.ask(0, 4, 0)
+	for !lost.ended {
+		a, slack := w.ask(0, 4, 0), w.b.slack
+		w.pass(0.05)
+		if w.reply(a, 0, OK); w.b.slack < 0.97*slack {
+			t.Fatalf("searches are shed for a lost part: %.2f after %.2f", w.b.slack, slack)
+		}
+	}
+	if w.reply(lost, 0, Cancelled); w.b.lateness > 0 {
+		t.Fatal("a lost part presses the cap")
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 )
 
 // Bookkeeping only: what is out, where, and since when. Nothing here decides.
@@ -331,6 +332,13 @@
 	}
 }
 
+// queued: is a part out that may stand in a line, as nothing sent to its node later has been answered?
+func (q *Search) queued() bool {
+	return slices.ContainsFunc(q.parts[q.first:], func(p *part) bool {
+		return p.state == out && p.sent > q.b.nodes[p.node].overtaken
+	})
+}
+
 func (q *Search) grow() *part {
 	k := len(q.parts)
 	if k < cap(q.parts) {
