Shedding tilts by value alone, and waits for the least share where part answers are allowed

Cause: value was divided by a search's work, so a search over most shards fell to the least threshold, 0.15 of the shortest target, which its own work fills (balance.go, unlucky); and the wait was taken at the last part even where half of the parts make an answer. Checked and dropped: the lists, the budget and full queues (no further sends, none full). Change: rate is the search's value alone, as it was where worth counts by work; the deciding part is that of the least share.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,14 +37,15 @@
 	narrow   = 0.6  // weight of the part that decides, which may be one node's trouble
 	unseen   = 0.08 // share of the target that a part's work is taken for at first
 
-	memory, longest               = 1.0, 20.0         // but in so many seconds at least, and at most
-	firstRest, lastRest           = 0.5, 4.0          // seconds before a sick node is asked again
-	own, ownFew, ownOver          = 0.2, 10.0, 10.0   // budget where none is stated: share, few, seconds
-	saved, few                    = 2.0, 3.0          // seconds of its share, or searches, a dealer may save up
-	sweepTicks, guardTicks        = 4, 3              // ticks between sweeps; and to spare at a client's end
-	lateLot, lateNew              = 0.25, 0.1         // share late or full that lowers the cap; its pace
-	capCut, capRest               = 0.85, 0.25        // factor by which, and seconds between
-	shedFrom, shedFull            = 0.35, 0.8         // expected share of the target: first shed, all shed
+	memory, longest               = 1.0, 20.0       // but in so many seconds at least, and at most
+	firstRest, lastRest           = 0.5, 4.0        // seconds before a sick node is asked again
+	own, ownFew, ownOver          = 0.2, 10.0, 10.0 // budget where none is stated: share, few, seconds
+	saved, few                    = 2.0, 3.0        // seconds of its share, or searches, a dealer may save up
+	sweepTicks, guardTicks        = 4, 3            // ticks between sweeps; and to spare at a client's end
+	lateLot, lateNew              = 0.25, 0.1       // share late or full that lowers the cap; its pace
+	capCut, capRest               = 0.85, 0.25      // factor by which, and seconds between
+	shedFrom, shedFull            = 0.35, 0.8       // expected share of the target: first shed, all shed
+	mostTilt                      = 0.0
 	shedTilt, shedLeast           = 0.25, 0.15        // move for an e-fold of value for work; the least
 	slackUp, slackDown, slackBack = 0.006, 0.06, 0.03 // how answers, overruns, judgements move these
 	learnLag, learnPace           = 0.3, 0.1          // newest reply's weight in a node's lateness, pace,
@@ -497,15 +498,11 @@
 		return true
 	}
 	slices.Sort(b.scratch)
-	last := max(int(math.Ceil(k.need*float64(len(b.scratch))-short))-1, 0)
+	last := max(int(math.Ceil(k.least*float64(len(b.scratch))-short))-1, 0)
 	wait := max(b.scratch[len(b.scratch)/2], narrow*b.scratch[last])
-	rate := q.value
-	if !b.byWork {
-		rate /= work
-	}
 	b.rated = min(b.rated+1, 100)
-	b.worth += (rate - b.worth) / b.rated
-	shift := shedTilt * math.Log(rate/b.worth+1e-9)
+	b.worth += (q.value - b.worth) / b.rated
+	shift := shedTilt * math.Log(q.value/b.worth+1e-9)
 	from, full := b.slack*max(shedFrom+shift, shedLeast), b.slack*max(shedFull+shift, 2*shedLeast)
 	// The shortest target measures the strain for all: else types with long ones would take the room.
 	wait *= max(1, (float64(b.flying)+float64(len(q.parts)))/b.cap) // in so many rounds through the cap
