--- a/balance/balance.go
+++ b/balance/balance.go
@@ -106,6 +106,7 @@
 	p.shard, p.weight = shard, weight
 	q.waiting++
 	q.b.widest = max(q.b.widest, float64(len(q.parts)))
+	q.b.cap = max(q.b.cap, q.b.widest) // one whole search, also the first so wide after a cut
 	return p.at
 }
 
