Patience follows what second tries bring; nodes that lose parts of a broker are chosen later

Change: patience moves between 4 and 14 spreads by whether second tries come back in the usual time. A node's share of failures beyond the median counts at once as lateness when nodes are chosen, 2.5 fold (shy, worse); a doubted node that answers after long silence counts as cold too.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,27 +15,29 @@
 )
 
 const (
-	overdue  = 0.3  // share of the latency target after which silence sends a part elsewhere,
-	patience = 6.0  // called off only so many spreads beyond its type's usual reply time
-	better   = 0.5  // and where the other holder lags by less than this share of the wait
-	replies  = 3.0  // outcomes of a node in whose time what is known of it halves
-	recall   = 2.0  // memories in which a node's record halves
-	doubt    = 3.0  // weight of what a record does not know
-	absence  = 2.0  // memories of silence in which a node may have restarted unlisted
-	margin   = 0.3  // failure share beyond the fleet's median that makes a node sick
-	mostSick = 4    // one node in so many may be left out for its record
-	loud     = 3.0  // weight of a failure that speaks of the whole node, not of one part
-	dull     = 0.8  // share of the shortest target that a failure counts for in a node's lateness
-	still    = 1.0  // seconds unused after which a connection may have been dropped unseen
-	judging  = 0.25 // seconds between judgements of the nodes
-	spread   = 1.0  // deviations that sends to cold nodes by lot keep clear of their limit
-	headroom = 2.5  // the capacity of a cold node over what warm ones bear on average
-	short    = 5e-5 // what sums of weights may fall short of by rounding
-	crowd    = 3.0  // the cap stays above so many parts a node by all brokers, and one whole search
-	capGain  = 0.5  // by how much a cap's worth of parts in time raises it again
-	thrift   = 0.1  // expected share of the target used from which spare parts wait
-	narrow   = 0.6  // weight of the part that decides, which may be one node's trouble
-	unseen   = 0.08 // share of the target that a part's work is taken for at first
+	overdue               = 0.3             // share of the latency target after which silence sends a part elsewhere,
+	impatient, patient    = 4.0, 14.0       // called off only so many spreads beyond its type's usual reply time, as moves
+	helped, grown, shrunk = 2.0, 1.12, 0.92 // help: a second try back within so many spreads does, others do not;
+	better                = 0.5             // and where the other holder lags by less than this share of the wait
+	told                  = 2.5             // how much of a worse record already counts as late when nodes are chosen
+	replies               = 3.0             // outcomes of a node in whose time what is known of it halves
+	recall                = 2.0             // memories in which a node's record halves
+	doubt                 = 3.0             // weight of what a record does not know
+	absence               = 2.0             // memories of silence in which a node may have restarted unlisted
+	margin                = 0.3             // failure share beyond the fleet's median that makes a node sick
+	mostSick              = 4               // one node in so many may be left out for its record
+	loud                  = 3.0             // weight of a failure that speaks of the whole node, not of one part
+	dull                  = 0.8             // share of the shortest target that a failure counts for in a node's lateness
+	still                 = 1.0             // seconds unused after which a connection may have been dropped unseen
+	judging               = 0.25            // seconds between judgements of the nodes
+	spread                = 1.0             // deviations that sends to cold nodes by lot keep clear of their limit
+	headroom              = 2.5             // the capacity of a cold node over what warm ones bear on average
+	short                 = 5e-5            // what sums of weights may fall short of by rounding
+	crowd                 = 3.0             // the cap stays above so many parts a node by all brokers, and one whole search
+	capGain               = 0.5             // by how much a cap's worth of parts in time raises it again
+	thrift                = 0.1             // expected share of the target used from which spare parts wait
+	narrow                = 0.6             // weight of the part that decides, which may be one node's trouble
+	unseen                = 0.08            // share of the target that a part's work is taken for at first
 
 	memory, longest               = 1.0, 20.0       // but in so many seconds at least, and at most
 	firstRest, lastRest           = 0.5, 4.0        // seconds before a sick node is asked again
@@ -46,7 +48,7 @@
 	capCut, capRest               = 0.85, 0.25      // factor by which, and seconds between
 	shedFrom, shedFull            = 0.35, 0.8       // expected share of the target: first shed, all shed
 	mostTilt                      = 0.0
-	shedTilt, shedLeast           = 0.25, 0.15        // move for an e-fold of value for work; the least
+	shedTilt                      = 0.25              // move for an e-fold of value for work; the least
 	slackUp, slackDown, slackBack = 0.006, 0.06, 0.03 // how answers, overruns, judgements move these
 	learnLag, learnPace           = 0.3, 0.1          // newest reply's weight in a node's lateness, pace,
 	learnFleet, learnUsual        = 0.02, 0.05        // the fleet's pace, a type's usual reply time;
@@ -125,6 +127,15 @@
 	}
 	n, k := b.land(p), &b.kinds[q.kind]
 	p.state = unsent
+	// Does sending again help? Where parts are lost, second tries come back in the usual time; in a jam
+	// they are as late as the first, and moving feeds it.
+	if p.tries > 1 && b.away == 0 {
+		if how == OK && took < k.usual+helped*k.swing {
+			b.patience = max(shrunk*b.patience, impatient)
+		} else if how != Moot {
+			b.patience = min(grown*b.patience, patient)
+		}
+	}
 	switch how {
 	case OK:
 		p.state = landed
@@ -467,9 +478,19 @@
 	return lag
 }
 
-// shy guards against drawing more to a node that fails fast; as nobody waits for it, none is shed for it.
+// worse is how far a node's record is beyond the fleet's median, 1 where that makes it sick. One that is sick
+// already is kept from parts by that, and judged by its trial.
+func (b *Broker) worse(n *node) float64 {
+	if n.sick {
+		return 0
+	}
+	return max(min((n.bad/(n.good+n.bad+doubt)-b.common)/margin, 1), 0)
+}
+
+// shy guards against drawing more to a node that fails fast, or loses parts of this broker while others come back
+// in time, before that is enough to leave it out; as nobody waits for either, none is shed for it.
 func (b *Broker) shy(n *node) float64 {
-	return max(b.lag(n), dull*b.tight*math.Exp2((n.failedAt-b.now)/b.memory))
+	return max(b.lag(n), dull*b.tight*max(math.Exp2((n.failedAt-b.now)/b.memory), min(told*b.worse(n), 1)))
 }
 
 // unlucky sheds by chance under overload: the more of its target a search is expected to
@@ -503,8 +524,8 @@
 	wait := max(b.scratch[len(b.scratch)/2], narrow*b.scratch[last])
 	b.rated = min(b.rated+1, 100)
 	b.worth += (q.value - b.worth) / b.rated
-	shift := shedTilt * math.Log(q.value/b.worth+1e-9)
-	from, full := b.slack*max(shedFrom+shift, shedLeast), b.slack*max(shedFull+shift, 2*shedLeast)
+	scale := b.slack * math.Pow(q.value/b.worth+1e-9, shedTilt)
+	from, full := shedFrom*scale, shedFull*scale
 	// The shortest target measures the strain for all: else types with long ones would take the room.
 	wait *= max(1, (float64(b.flying)+float64(len(q.parts)))/b.cap) // in so many rounds through the cap
 	used := (b.now - q.born + wait) / b.tight
@@ -541,12 +562,14 @@
 		}
 	}
 	n.overtaken, n.failedAt, n.good = max(n.overtaken, p.sent), n.failedAt-b.memory/2, n.good+1
-	if n.sick && took < overdue*k.aim {
-		n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
+	if doubted := n.sick || b.worse(n) > better; doubted && took < overdue*k.aim {
 		// Guards against a node that fell silent and came back cold before the list tells.
 		if b.now-n.heardAt > absence*b.memory {
 			n.started = b.now
 		}
+		if n.sick {
+			n.sick, n.trial, n.bad, n.pause = false, false, 0, 0
+		}
 	}
 	n.heardAt = b.now
 }
@@ -632,14 +655,14 @@
 		b.bear += learnBear * (headroom*done/float64(warm) - b.bear)
 	}
 	slices.Sort(b.scratch)
-	median := b.scratch[len(b.scratch)/2]
+	b.common = b.scratch[len(b.scratch)/2]
 	for i := range b.nodes {
 		n := &b.nodes[i]
 		if n.standing != Active {
 			continue
 		}
 		// Guards against leaving out so many that the rest is overloaded and looks sick in turn.
-		if !n.sick && n.bad/(n.good+n.bad+doubt) > median+margin && sick*mostSick < active {
+		if !n.sick && n.bad/(n.good+n.bad+doubt) > b.common+margin && sick*mostSick < active {
 			n.sick, sick = true, sick+1
 			b.rest(n)
 		}
@@ -678,7 +701,7 @@
 					}
 				}
 				// Guards against feeding a jam: where replies are often slow, silence is a long line.
-				if age > k.usual+patience*k.swing {
+				if age > k.usual+b.patience*k.swing {
 					b.move(n, p, k, age)
 				}
 			}
@@ -718,7 +741,7 @@
 	}
 	// Guards against sending costly parts round and round: what later ones have overtaken (unless so long
 	// ago that it must be lost) or was late at two nodes is slow by itself; not at a mute node.
-	if !p.hung && (p.sent <= n.overtaken && age < k.usual+2*patience*k.swing || p.tries > 1) ||
+	if !p.hung && (p.sent <= n.overtaken && age < k.usual+2*b.patience*k.swing || p.tries > 1) ||
 		q.waiting > 0 || q.coming() >= q.need-short || !p.hung && b.halls != nil && b.halls.Trying(p.node) {
 		return
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -70,6 +70,8 @@
 	cutAt             float64
 	brokers           float64
 	slack             float64 // scale of the range in which searches are shed
+	common            float64 // the median of nodes' shares of failures
+	patience          float64 // spreads that an overdue part is waited for
 	tight             float64 // the shortest target
 	guard, period     float64
 	sweepAt, judgeAt  float64
@@ -100,7 +102,7 @@
 		fallBy: t.FallMultiple, extra: t.Extra, share: t.ExtraShare, over: t.Over, byWork: t.ByWork,
 		beyond: t.OverShare, cap: math.Inf(1), asked: t.Asked,
 		holders: make([][]int, t.Shards), members: make([][]int, t.Cells), cutAt: math.Inf(-1),
-		slack: 1, memory: 1, tight: math.Inf(1), brokers: float64(t.Brokers)}
+		slack: 1, memory: 1, patience: (impatient + patient) / 2, tight: math.Inf(1), brokers: float64(t.Brokers)}
 	if t.Over <= 0 {
 		b.extra, b.share, b.over = ownFew, own, ownOver
 	}
