--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,29 +15,32 @@
 )
 
 const (
-	overdue               = 0.3             // share of the latency target after which silence sends a part elsewhere,
-	impatient, patient    = 4.0, 14.0       // called off only so many spreads beyond its type's usual reply time, as moves
-	helped, grown, shrunk = 2.0, 1.12, 0.92 // help: a second try back within so many spreads does, others do not;
-	better                = 0.5             // and where the other holder lags by less than this share of the wait
-	told                  = 2.5             // how much of a worse record already counts as late when nodes are chosen
-	replies               = 3.0             // outcomes of a node in whose time what is known of it halves
-	recall                = 2.0             // memories in which a node's record halves
-	doubt                 = 3.0             // weight of what a record does not know
-	absence               = 2.0             // memories of silence in which a node may have restarted unlisted
-	margin                = 0.3             // failure share beyond the fleet's median that makes a node sick
-	mostSick              = 4               // one node in so many may be left out for its record
-	loud                  = 3.0             // weight of a failure that speaks of the whole node, not of one part
-	dull                  = 0.8             // share of the shortest target that a failure counts for in a node's lateness
-	still                 = 1.0             // seconds unused after which a connection may have been dropped unseen
-	judging               = 0.25            // seconds between judgements of the nodes
-	spread                = 1.0             // deviations that sends to cold nodes by lot keep clear of their limit
-	headroom              = 2.5             // the capacity of a cold node over what warm ones bear on average
-	short                 = 5e-5            // what sums of weights may fall short of by rounding
-	crowd                 = 3.0             // the cap stays above so many parts a node by all brokers, and one whole search
-	capGain               = 0.5             // by how much a cap's worth of parts in time raises it again
-	thrift                = 0.1             // expected share of the target used from which spare parts wait
-	narrow                = 0.6             // weight of the part that decides, which may be one node's trouble
-	unseen                = 0.08            // share of the target that a part's work is taken for at first
+	// An overdue part is called off only so many spreads beyond its type's usual reply time. Moves that help
+	// make it less: those whose second try is back within so many spreads; others make it more.
+	impatient, patient    = 4.0, 14.0
+	helped, grown, shrunk = 2.0, 1.12, 0.92
+
+	overdue  = 0.3  // share of the latency target after which silence sends a part elsewhere,
+	better   = 0.5  // where the other holder lags by less than this share of the wait
+	told     = 2.5  // how much of a worse record already counts as late when nodes are chosen
+	replies  = 3.0  // outcomes of a node in whose time what is known of it halves
+	recall   = 2.0  // memories in which a node's record halves
+	doubt    = 3.0  // weight of what a record does not know
+	absence  = 2.0  // memories of silence in which a node may have restarted unlisted
+	margin   = 0.3  // failure share beyond the fleet's median that makes a node sick
+	mostSick = 4    // one node in so many may be left out for its record
+	loud     = 3.0  // weight of a failure that speaks of the whole node, not of one part
+	dull     = 0.8  // share of the shortest target that a failure counts for in a node's lateness
+	still    = 1.0  // seconds unused after which a connection may have been dropped unseen
+	judging  = 0.25 // seconds between judgements of the nodes
+	spread   = 1.0  // deviations that sends to cold nodes by lot keep clear of their limit
+	headroom = 2.5  // the capacity of a cold node over what warm ones bear on average
+	short    = 5e-5 // what sums of weights may fall short of by rounding
+	crowd    = 3.0  // the cap stays above so many parts a node by all brokers, and one whole search
+	capGain  = 0.5  // by how much a cap's worth of parts in time raises it again
+	thrift   = 0.1  // expected share of the target used from which spare parts wait
+	narrow   = 0.6  // weight of the part that decides, which may be one node's trouble
+	unseen   = 0.08 // share of the target that a part's work is taken for at first
 
 	memory, longest               = 1.0, 20.0       // but in so many seconds at least, and at most
 	firstRest, lastRest           = 0.5, 4.0        // seconds before a sick node is asked again
@@ -52,7 +55,7 @@
 	slackUp, slackDown, slackBack = 0.006, 0.06, 0.03 // how answers, overruns, judgements move these
 	learnLag, learnPace           = 0.3, 0.1          // newest reply's weight in a node's lateness, pace,
 	learnFleet, learnUsual        = 0.02, 0.05        // the fleet's pace, a type's usual reply time;
-	learnSilent, learnZone        = 0.05, 0.1         // outcome's in the shares of silence, a zone's failures;
+	learnSilent, learnZone        = 0.05, 0.1         // outcomes in the shares of silence, zones' failures;
 	learnRate, learnBear          = 0.05, 0.1         // judgement's in the rate of outcomes, capacity
 	learnUp, learnDown            = 0.01, 0.1         // rates at which a part's work follows a low quantile
 )
@@ -71,8 +74,8 @@
 
 // Take takes a search whose client waits so long yet; dealer below 0 is none.
 func (b *Broker) Take(kind, dealer int, left float64) *Search {
-	q, k := b.take(), &b.kinds[kind]
-	q.kind, q.born, q.need = kind, b.now, k.need
+	q, k := b.take(), b.kinds[kind]
+	q.kind, q.lay, q.born, q.need = k, b.lay, b.now, k.need
 	q.aim, q.cutoff, q.value = b.now+min(k.aim, left), b.now+left-b.guard, k.value
 	// Guards against work for repeats that nobody can be served by in time: a client that asks again
 	// has not the time left of first tries, the most frequent (by majority vote); all have one end.
@@ -101,7 +104,7 @@
 // Part adds a part to a search and gives its index, or -1 if the search has ended.
 func (q *Search) Part(shard int, weight float64) int {
 	q.b.taken.add(q.b.now, 1)
-	if q.ended || shard < 0 || shard >= len(q.b.holders) {
+	if q.ended || shard < 0 || shard >= len(q.lay.holders) {
 		return -1
 	}
 	p := q.grow()
@@ -125,7 +128,7 @@
 	if p.state != out {
 		return
 	}
-	n, k := b.land(p), &b.kinds[q.kind]
+	n, k := b.land(p), q.kind
 	p.state = unsent
 	// Does sending again help? Where parts are lost, second tries come back in the usual time; in a jam
 	// they are as late as the first, and moving feeds it.
@@ -180,7 +183,7 @@
 
 // again: may a part that came back without an answer be sent once more, now or later?
 func (b *Broker) again(p *part) bool {
-	k := &b.kinds[p.q.kind]
+	k := p.q.kind
 	switch {
 	case p.tries >= b.tries:
 		return false
@@ -211,7 +214,7 @@
 }
 
 func (q *Search) answer(whole bool) {
-	b, k := q.b, &q.b.kinds[q.kind]
+	b, k := q.b, q.kind
 	if q.fetched || k.fetch == 0 {
 		if !q.overran {
 			b.slack += slackUp * (q.aim - q.born) / k.aim
@@ -244,7 +247,7 @@
 // quit ends a search that is given up on, at once: from the parts that are in where
 // the query type allows that, else by the answer that promises no more than is true.
 func (q *Search) quit() {
-	b, k := q.b, &q.b.kinds[q.kind]
+	b, k := q.b, q.kind
 	if q.got > 0 && q.got >= k.least-short && k.least < k.need-short && (q.fetched || k.fetch == 0) {
 		q.answer(false)
 		return
@@ -289,7 +292,7 @@
 
 // send sends the parts of a search; it tells whether there is room for the next one's.
 func (b *Broker) send(q *Search) bool {
-	k := &b.kinds[q.kind]
+	k := q.kind
 	if float64(b.flying) >= b.cap {
 		return false
 	}
@@ -366,9 +369,9 @@
 // align gives a search the replica offset whose nodes hold fewest calls of this
 // broker; among equals, that which crosses zones least, else any, so that brokers do not herd.
 func (b *Broker) align(q *Search) {
-	best, pick, from := math.Inf(1), 0, int(b.rand.Next()*float64(b.spread))
-	for j := range b.spread {
-		q.offset = (from + j) % b.spread
+	best, pick, from := math.Inf(1), 0, int(b.rand.Next()*float64(q.lay.spread))
+	for j := range q.lay.spread {
+		q.offset = (from + j) % q.lay.spread
 		b.stamp++
 		cost := 0.0
 		for _, p := range q.parts[q.first:] {
@@ -388,13 +391,13 @@
 
 // pick chooses a part's node: the holder at the offset unless shut or overdue, else the least late.
 func (b *Broker) pick(q *Search, p *part) int {
-	hs, limit := b.holders[p.shard], overdue*b.kinds[q.kind].aim
+	hs, limit := q.lay.holders[p.shard], overdue*q.kind.aim
 	best, bestLag, bestOut := -1, 0.0, 0
 	for pass := 0; pass < 2 && best < 0; pass++ {
 		for j := range hs {
 			h := hs[(q.offset+j)%len(hs)]
 			n := &b.nodes[h]
-			if h == p.node || !b.open(h, b.kinds[q.kind].work, pass == 1) {
+			if h == p.node || !b.open(h, q.kind.work, pass == 1) {
 				continue
 			}
 			lag := max(b.shy(n)-limit, 0)
@@ -447,8 +450,8 @@
 	if b.halls == nil || !b.halls.Strained() {
 		return false
 	}
-	for _, h := range b.holders[p.shard] {
-		if b.nodes[h].standing == Active && b.halls.Open(h, b.kinds[q.kind].work) {
+	for _, h := range q.lay.holders[p.shard] {
+		if b.nodes[h].standing == Active && b.halls.Open(h, q.kind.work) {
 			return false
 		}
 	}
@@ -487,8 +490,8 @@
 	return max(min((n.bad/(n.good+n.bad+doubt)-b.common)/margin, 1), 0)
 }
 
-// shy guards against drawing more to a node that fails fast, or loses parts of this broker while others come back
-// in time, before that is enough to leave it out; as nobody waits for either, none is shed for it.
+// shy guards against drawing more to a node that fails fast, or loses parts of this broker while others come
+// back, before that is enough to leave it out; as nobody waits for either, none is shed for it.
 func (b *Broker) shy(n *node) float64 {
 	return max(b.lag(n), dull*b.tight*max(math.Exp2((n.failedAt-b.now)/b.memory), min(told*b.worse(n), 1)))
 }
@@ -618,6 +621,7 @@
 func (b *Broker) judge() {
 	b.judgeAt = b.now + judging
 	b.slack += slackBack * (1 - b.slack)
+	b.taken.since(b.now - b.over - b.period)
 	b.scratch = b.scratch[:0]
 	done, warm, active, sick := 0.0, 0, 0, 0
 	b.judged = min(b.judged+1, 1/learnRate) // a mean at first, so that a start does not pass for silence
@@ -641,6 +645,7 @@
 			continue
 		}
 		active, n.good, n.bad = active+1, n.good*keep, n.bad*keep
+		n.sent.since(b.now - b.fall) // else what went to warm nodes would never be forgotten
 		b.scratch = append(b.scratch, n.bad/(n.good+n.bad+doubt))
 		if n.sick {
 			sick++
@@ -680,7 +685,7 @@
 	for i := range b.nodes {
 		n := &b.nodes[i]
 		for p := n.oldest; p != nil; {
-			younger, k := p.younger, &b.kinds[p.q.kind]
+			younger, k := p.younger, p.q.kind
 			if age := b.now - p.sent; age > overdue*k.aim {
 				if !p.late {
 					p.late, b.silent[p.rest] = true, b.silent[p.rest]+learnSilent*(1-b.silent[p.rest])
@@ -709,7 +714,7 @@
 		}
 	}
 	for q := b.head; q != nil; {
-		next, k := q.next, &b.kinds[q.kind]
+		next, k := q.next, q.kind
 		if b.now >= q.aim && !q.overran && q.flying > 0 {
 			q.overran = true
 			if b.away == 0 && (q.waiting > 0 || q.queued()) {
@@ -754,7 +759,7 @@
 	}
 	n.delist(p)
 	b.host.Cancel(q, p.at, p.tries-1)
-	// Guards against a connection that fell silent, which parts leave before any is late enough to tell of it.
+	// Guards against a connection that fell silent: parts leave it before any is late enough to tell.
 	b.host.Renew(p.node, better*k.aim)
 }
 
@@ -789,25 +794,7 @@
 	if b.halls != nil {
 		b.halls.Listed()
 	}
-	for c := range b.members {
-		b.members[c] = b.members[c][:0]
-	}
-	for i := range b.nodes {
-		if n := &b.nodes[i]; n.standing != Gone && n.cell < len(b.members) {
-			b.members[n.cell] = append(b.members[n.cell], i)
-		}
-	}
-	for _, m := range b.members { // in a cell, those of better rank first
-		slices.SortStableFunc(m, func(i, j int) int { return b.nodes[i].rank - b.nodes[j].rank })
-	}
-	b.spread = 0
-	for s := range b.holders {
-		b.holders[s] = b.holders[s][:0]
-		for j := range b.reach {
-			b.holders[s] = append(b.holders[s], b.members[(s+j)%len(b.members)]...)
-		}
-		b.spread = max(b.spread, len(b.holders[s]))
-	}
+	b.arrange()
 }
 
 // Unlisted says that the node list could not be had, or that its subscription broke.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -49,7 +49,7 @@
 		w := newWorld(t, terms, nodes)
 		w.rt = rt
 		for range rapid.IntRange(20, 150).Draw(rt, "steps") {
-			switch rapid.IntRange(0, 9).Draw(rt, "step") {
+			switch rapid.IntRange(0, 10).Draw(rt, "step") {
 			case 0, 1, 2:
 				first := rapid.IntRange(0, terms.Shards-1).Draw(rt, "first shard")
 				var shards []int
@@ -78,6 +78,12 @@
 				}
 			case 7:
 				w.pass(rapid.Float64Range(0.001, 0.6).Draw(rt, "pass"))
+			case 10:
+				terms.Tries = rapid.IntRange(2, 4).Draw(rt, "tries")
+				terms.Extra, terms.ExtraShare = float64(rapid.IntRange(2, 3).Draw(rt, "extra")), 0.2
+				terms.Over = rapid.Float64Range(1, 4).Draw(rt, "over")
+				terms.Fall = max(terms.Fall, rapid.Float64Range(1, 1.5).Draw(rt, "fall"))
+				w.restate(terms)
 			case 8:
 				i := rapid.IntRange(0, len(nodes)-1).Draw(rt, "node")
 				nodes[i].Standing = rapid.SampledFrom([]Standing{Active, Draining, Gone}).Draw(rt, "standing")
@@ -109,6 +115,92 @@
 	})
 }
 
+func TestOtherTermsLeaveWhatIsInHandAlone(t *testing.T) {
+	terms, nodes := plainTerms()
+	w := newWorld(t, terms, nodes)
+	a := w.ask(0, 4, 0, 1, 2, 3)
+	n := w.b.nodes[0]
+	wrong := terms
+	wrong.Tries = 0
+	if err := w.b.Restate(wrong, []int{0}); err == nil || w.b.tries != terms.Tries {
+		t.Fatal("terms that make no sense are taken")
+	}
+	// Half of the parts will do from now on, over other shards; the old type is the second one now.
+	next := terms
+	next.Cells, next.Shards, next.Reach = 4, 8, 2
+	next.Types = []QueryType{{Target: 1, Timeout: 4, Value: 3, Need: 0.5, Least: 0.5}, terms.Types[0]}
+	w.b.kinds[0].work = 0.123
+	w.turn(func() {
+		if err := w.b.Restate(next, []int{-1, 0}); err != nil {
+			t.Fatal(err)
+		}
+		for i := range nodes {
+			nodes[i].Cell = i
+		}
+		w.b.List(true, nodes)
+	})
+	if m := w.b.nodes[0]; m.out != n.out || w.b.kinds[1].work != 0.123 || w.b.kinds[0].work == 0.123 {
+		t.Fatal("what was learned or sent is forgotten, or goes to another type")
+	}
+	w.reply(a, 0, OK)
+	if w.reply(a, 1, OK); w.answered != 0 {
+		t.Fatal("a search is answered by terms that came after it")
+	}
+	w.reply(a, 2, OK)
+	if w.reply(a, 3, OK); w.answered != 1 {
+		t.Fatal("a search in hand is not answered")
+	}
+	w.terms = next
+	b := w.ask(0, 4, 4, 5, 6, 7) // sends are checked against the new layout
+	w.reply(b, 0, OK)
+	if w.reply(b, 1, OK); w.answered != 2 {
+		t.Fatal("a search is not answered by the terms in force")
+	}
+}
+
+func TestLongerWindowSpendsNothingTwice(t *testing.T) {
+	terms, nodes := plainTerms()
+	terms.Extra, terms.ExtraShare, terms.Over = 3, 0, 1
+	w := newWorld(t, terms, nodes)
+	spend := func() {
+		for range 6 {
+			a := w.ask(0, 4, 0)
+			w.pass(0.02)
+			if w.reply(a, 0, Errored); a.parts[0].out {
+				w.reply(a, 0, OK)
+			}
+		}
+	}
+	spend() // the world checks the budget at every send
+	w.pass(1.5)
+	terms.Over = 5
+	w.restate(terms)
+	spend()
+	if w.pass(6); len(w.further) != 3 {
+		t.Fatalf("%d further sub-requests, want the three of the first window", len(w.further))
+	}
+	if spend(); len(w.further) == 3 {
+		t.Fatal("no further sub-requests once the longer window has passed")
+	}
+}
+
+func TestWarmNodesAreNotRememberedForEver(t *testing.T) {
+	w := plain(t, 4)
+	for range 3000 {
+		a := w.ask(0, 4, 0)
+		w.pass(0.02)
+		w.reply(a, 0, OK)
+	}
+	for i := range w.b.nodes {
+		if n := &w.b.nodes[i]; cap(n.sent.at) > 1000 {
+			t.Fatalf("%d sends to a node are remembered after 60 s", cap(n.sent.at))
+		}
+	}
+	if cap(w.b.taken.at) > 2000 {
+		t.Fatalf("%d searches are remembered after 60 s", cap(w.b.taken.at))
+	}
+}
+
 func TestNthReplyAnswersAndTheRestIsCancelled(t *testing.T) {
 	terms, nodes := plainTerms()
 	terms.Types[0].Need, terms.Types[0].Least = 0.5, 0.5
@@ -311,7 +403,8 @@
 	for range 4 {
 		w.ask(0, 4, 0) // both holders of shard 0 hold two, and 0.3 s is the limit
 	}
-	p := w.b.take().grow()
+	q := w.b.Take(0, -1, 4)
+	p := q.parts[q.Part(0, 1)]
 	w.b.nodes[0].out += 2
 	if at := w.b.pick(p.q, p); at == 0 {
 		t.Fatal("a part goes to a holder that needs 0.4 s for what it holds")
@@ -323,9 +416,11 @@
 	nodes = append(nodes, Listed{Node: 4, Cell: 0}) // beside 0 and 2, which are far
 	w := newWorld(t, terms, nodes)
 	for range 3 {
-		w.b.launch(w.b.take().grow(), 4) // the near one is busier
+		q := w.b.Take(0, -1, 4)
+		w.b.launch(q.parts[q.Part(0, 1)], 4) // the near one is busier
 	}
-	p := w.b.take().grow()
+	q := w.b.Take(0, -1, 4)
+	p := q.parts[q.Part(0, 1)]
 	p.node, p.q.offset = 0, 1 // where the part was, which is out of the question now
 	if at := w.b.pick(p.q, p); at != 4 {
 		t.Fatalf("the part goes to node %d, from which nothing may come either", at)
@@ -395,8 +490,9 @@
 		w.b.blame(&w.b.nodes[10+s], 1)
 	}
 	w.pass(0.3)
-	p := w.b.take().grow()
-	p.shard, p.q.offset = 9, 1
+	q := w.b.Take(0, -1, 4)
+	p := q.parts[q.Part(9, 1)]
+	q.offset = 1
 	if at := w.b.pick(p.q, p); at != 9 {
 		t.Fatalf("a part goes to node %d of a zone whose parts all failed", at)
 	}
@@ -444,7 +540,7 @@
 				q.Part(s, 0.25)
 			}
 			w.b.flying = 12 // of other searches
-			if b := w.b; b.unlucky(q, &b.kinds[0]) != (room == 1) {
+			if b := w.b; b.unlucky(q, b.kinds[0]) != (room == 1) {
 				t.Fatalf("four parts behind twelve, 0.3 s each, under a cap of %g", room)
 			}
 			w.b.flying = 0
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// restate puts other terms of the same types in force.
+func (w *world) restate(t Terms) {
+	was := make([]int, len(t.Types))
+	for i := range was {
+		was[i] = i
+	}
+	w.terms = t
+	w.turn(func() {
+		if err := w.b.Restate(t, was); err != nil {
+			w.fail("terms refused: %v", err)
+		}
+	})
+}
+
 // pass lets time go on, with a turn at each wake.
 func (w *world) pass(dt float64) {
 	for end := w.now + dt; ; w.turn(func() {}) {
--- a/balance/host.go
+++ b/balance/host.go
@@ -72,7 +72,6 @@
 	Types                []QueryType
 	Quotas               []float64 // per dealer: searches a second within its share, all brokers together
 	OverShare            float64   // value beyond the share
-	ByWork               bool      // value counts in proportion to work
 	Cells, Reach, Shards int
 	PerCall              int
 	Tries                int
--- a/balance/state.go
+++ b/balance/state.go
@@ -23,23 +23,29 @@
 	usual, swing             float64 // its replies' running mean and mean deviation
 }
 
+// layout is which nodes hold which shards; a search keeps the one it was taken under.
+type layout struct {
+	holders [][]int // by shard, in the fixed order of offsets
+	members [][]int // by cell
+	reach   int
+	spread  int // the longest of holders
+}
+
 // Broker decides for one instance. It is not safe for concurrent use.
 type Broker struct {
 	host  Host
 	now   float64
 	turn  int
 	rand  chance.Source
-	kinds []kind
+	kinds []*kind
 	nodes []node
 
 	head, tail        *Search
 	free              []*Search
 	places, live      int
 	calls, freeCalls  []int
-	holders           [][]int // by shard, in the fixed order of offsets
-	members           [][]int // by cell
-	spread            int     // the longest of holders
-	reach, perCall    int
+	lay               *layout
+	perCall           int
 	tries             int
 	cancels, probes   bool
 	advice            float64
@@ -50,7 +56,6 @@
 	owed              int // sub-requests cancelled to be resent
 	extra, share      float64
 	over              float64
-	byWork            bool
 	quotas, tokens    []float64 // by dealer: this broker's part of the share a second; what is left of it
 	tokensAt          []float64
 	beyond            float64
@@ -87,28 +92,14 @@
 
 // New makes a broker from what its deployment states.
 func New(h Host, t Terms) (*Broker, error) {
-	switch {
-	case len(t.Types) == 0:
-		return nil, errors.New("no query types")
-	case t.Cells < 1 || t.Shards < 1 || t.Reach < 1 || t.Reach > t.Cells:
-		return nil, errors.New("cells, reach and shards do not make a layout")
-	case t.Brokers < 1 || t.Tries < 1:
-		return nil, errors.New("brokers and tries must be at least 1")
-	case t.Cold > 0 && (t.ColdFrom <= 0 || t.ColdFrom > 1 || t.Fall <= 0 || t.FallMultiple <= 0):
-		return nil, errors.New("the figures for cold nodes do not fit together")
-	}
-	b := &Broker{host: h, reach: t.Reach, perCall: max(t.PerCall, 1), tries: t.Tries, cancels: t.MayCancel,
-		probes: t.MayProbe, advice: t.Advice, cold: t.Cold, coldFrom: t.ColdFrom, fall: t.Fall,
-		fallBy: t.FallMultiple, extra: t.Extra, share: t.ExtraShare, over: t.Over, byWork: t.ByWork,
-		beyond: t.OverShare, cap: math.Inf(1), asked: t.Asked,
-		holders: make([][]int, t.Shards), members: make([][]int, t.Cells), cutAt: math.Inf(-1),
-		slack: 1, memory: 1, patience: (impatient + patient) / 2, tight: math.Inf(1), brokers: float64(t.Brokers)}
-	if t.Over <= 0 {
-		b.extra, b.share, b.over = ownFew, own, ownOver
-	}
+	b := &Broker{host: h, cap: math.Inf(1), cutAt: math.Inf(-1), slack: 1, memory: 1, over: math.Inf(1),
+		fall: t.Fall, patience: (impatient + patient) / 2, asked: t.Asked, lay: &layout{}}
 	b.period = sweepTicks * t.Tick
 	b.guard = b.period + guardTicks*t.Tick
 	b.rand.Seed(t.Seed)
+	if err := b.Restate(t, nil); err != nil {
+		return nil, err
+	}
 	if t.Halls != nil {
 		s, err := *t.Halls, error(nil)
 		s.Seed = t.Seed ^ 1 // else both would draw the same numbers
@@ -116,22 +107,93 @@
 			return nil, err
 		}
 	}
-	for _, k := range t.Types {
+	return b, nil
+}
+
+// Restate puts other terms in force, or none of them. Searches in hand go on by those they were taken under, to the
+// holders of then; was tells the index that each query type had before, below 0 for a new one, so that what was learned
+// of it stays. The seed, the tick, how the list comes and the guard on halls stay as New was told. A List has to follow
+// where the layout differs.
+func (b *Broker) Restate(t Terms, was []int) error {
+	switch {
+	case len(t.Types) == 0:
+		return errors.New("no query types")
+	case t.Cells < 1 || t.Shards < 1 || t.Reach < 1 || t.Reach > t.Cells:
+		return errors.New("cells, reach and shards do not make a layout")
+	case t.Brokers < 1 || t.Tries < 1:
+		return errors.New("brokers and tries must be at least 1")
+	case t.Cold > 0 && (t.ColdFrom <= 0 || t.ColdFrom > 1 || t.Fall <= 0 || t.FallMultiple <= 0):
+		return errors.New("the figures for cold nodes do not fit together")
+	}
+	var kinds []*kind
+	tight := math.Inf(1)
+	for i, k := range t.Types {
 		if k.Target <= 0 || k.Timeout <= 0 || k.Need <= 0 || k.Need > 1 || k.Least > k.Need {
-			return nil, errors.New("a query type's target, timeout or shares make no sense")
+			return errors.New("a query type's target, timeout or shares make no sense")
+		}
+		n := &kind{aim: k.Target, window: k.Window, value: k.Value, late: k.LateValue, grace: k.Timeout - k.Target,
+			need: k.Need, least: k.Least, partial: k.Partial, fetch: k.Fetch, effect: k.Effect, work: unseen * k.Target}
+		if i < len(was) && was[i] >= 0 && was[i] < len(b.kinds) {
+			old := b.kinds[was[i]]
+			n.work, n.usual, n.swing = old.work, old.usual, old.swing
 		}
-		b.kinds = append(b.kinds, kind{aim: k.Target, window: k.Window, value: k.Value, late: k.LateValue,
-			grace: k.Timeout - k.Target,
-			need:  k.Need, least: k.Least, partial: k.Partial, fetch: k.Fetch, effect: k.Effect,
-			work: unseen * k.Target})
-		b.tight = min(b.tight, k.Target)
+		kinds, tight = append(kinds, n), min(tight, k.Target)
 	}
+	b.kinds, b.tight, b.perCall, b.tries = kinds, tight, max(t.PerCall, 1), t.Tries
+	b.cancels, b.probes, b.advice, b.beyond = t.MayCancel, t.MayProbe, t.Advice, t.OverShare
+	b.brokers, b.cold, b.coldFrom, b.fallBy = float64(t.Brokers), t.Cold, t.ColdFrom, t.FallMultiple
+	b.quotas, b.tokens, b.tokensAt = nil, nil, nil
 	for _, s := range t.Quotas {
 		b.quotas = append(b.quotas, s/float64(t.Brokers))
 		b.tokens = append(b.tokens, s/float64(t.Brokers))
-		b.tokensAt = append(b.tokensAt, 0)
+		b.tokensAt = append(b.tokensAt, b.now)
+	}
+	over := t.Over
+	if b.extra, b.share = t.Extra, t.ExtraShare; over <= 0 {
+		b.extra, b.share, over = ownFew, own, ownOver
+	}
+	// Guards against spending twice in a longer window: what went before the old one is forgotten already.
+	if over > b.over {
+		b.further.add(b.now, b.extra)
+	}
+	if t.Fall > b.fall && b.fall > 0 {
+		for i := range b.nodes {
+			b.nodes[i].sent.add(b.now, b.nodes[i].sent.since(b.now-b.fall)*(t.Fall/b.fall-1))
+		}
+	}
+	if b.fall > 0 {
+		b.bear *= t.Fall / b.fall
+	}
+	b.over, b.fall = over, t.Fall
+	if l := b.lay; len(l.holders) != t.Shards || len(l.members) != t.Cells || l.reach != t.Reach {
+		b.lay = &layout{holders: make([][]int, t.Shards), members: make([][]int, t.Cells), reach: t.Reach}
+		b.arrange()
+	}
+	return nil
+}
+
+// arrange fills the layout from the list.
+func (b *Broker) arrange() {
+	l := b.lay
+	for c := range l.members {
+		l.members[c] = l.members[c][:0]
+	}
+	for i := range b.nodes {
+		if n := &b.nodes[i]; n.standing != Gone && n.cell < len(l.members) {
+			l.members[n.cell] = append(l.members[n.cell], i)
+		}
+	}
+	for _, m := range l.members { // in a cell, those of better rank first
+		slices.SortStableFunc(m, func(i, j int) int { return b.nodes[i].rank - b.nodes[j].rank })
+	}
+	l.spread = 0
+	for s := range l.holders {
+		l.holders[s] = l.holders[s][:0]
+		for j := range l.reach {
+			l.holders[s] = append(l.holders[s], l.members[(s+j)%len(l.members)]...)
+		}
+		l.spread = max(l.spread, len(l.holders[s]))
 	}
-	return b, nil
 }
 
 type partState uint8
@@ -167,7 +229,8 @@
 type Search struct {
 	b                 *Broker
 	place             int
-	kind              int
+	kind              *kind
+	lay               *layout
 	born, aim, cutoff float64
 	value             float64
 	offset            int
--- a/cmd/brackenfront/program_test.go
+++ b/cmd/brackenfront/program_test.go
@@ -711,7 +711,7 @@
 			`"tick":5`, `"tick":6`, 1)
 	})
 	p.cmd.Process.Signal(syscall.SIGHUP)
-	p.line("configuration read again", "restart=\"[settings]\"", next)
+	p.line("configuration read again", "restart=\"[settings.tick]\"", next)
 	if q := p.watched(); q != "follow=1&since=42" {
 		t.Fatalf("watches from %s", q)
 	}
@@ -725,3 +725,161 @@
 	p.cmd.Process.Signal(syscall.SIGHUP) // and while it drains
 	p.ends()
 }
+
+// moved is another shape of deployment: four cells in a ring, other types in another order, part answers, no probes.
+const moved = `{"instances":100,"tick":5,"myZone":"a","discovery":"pushed","worthBy":"request","overShareWorth":0.2,
+ "lanes":[{"name":"report","effect":"read_like","target":2000,"giveUp":9000,"worth":2,"window":1000},
+  {"name":"any","effect":"read_like","target":1500,"giveUp":8000,"worth":2,"lateWorth":0.3,"window":1000},
+  {"name":"all","effect":"read_like","target":1200,"giveUp":8000,"worth":1,"lateWorth":0.3,"window":1000}],
+ "tenants":[{"name":"zest","quotaPerS":1000},{"name":"acme","quotaPerS":1000}],
+ "familyInfo":{"perCall":1,"places":4,"reach":2,"slices":8,"classNeed":[1,0.5,1],"minShare":[0.5,0.5,1],
+  "incompleteWorth":[0.8,0,0],"fetchParts":[0,0,0]},
+ "policyLimits":{"mostTries":4,"maxOpen":300,"streamsPerConn":8,"mayCancel":true,"mayProbe":false,"retryAfter":true,
+  "maxRetryAfter":2000,"dialTimeout":250,"keepalive":15000},
+ "rules":{"cold":1700,"coldFrom":0.18,"fall":1000,"fallMultiple":3}}`
+
+// TestSwitch moves a running program to another shape of deployment and back, some times over, under load: what is in
+// hand ends by the settings it came under, no part goes out twice, and settings that cannot be used change nothing.
+func TestSwitch(t *testing.T) {
+	p := serving(t)
+	var old string
+	p.rewrite(func(config string) string { old = config; return config })
+	seq := 42
+	file := func(there bool) string {
+		config := old
+		if there {
+			var hosts []string
+			for i, n := range p.nodes {
+				hosts = append(hosts, strings.Replace(n.entry("active"), fmt.Sprintf(`"block":%d`, n.cell), fmt.Sprintf(`"block":%d`, i), 1))
+			}
+			config = config[:strings.Index(config, `"known"`)] + `"known":{"seq":41,"whole":true,"hosts":[` +
+				strings.Join(hosts, ",") + `]},"settings":` + moved + "}"
+		}
+		seq++
+		return strings.NewReplacer(`"seq":41`, fmt.Sprintf(`"seq":%d`, seq), "BORN", "0").Replace(config)
+	}
+	lines := func(word string) (n int) {
+		p.Lock()
+		defer p.Unlock()
+		for _, l := range p.lines {
+			if strings.Contains(l, word) {
+				n++
+			}
+		}
+		return n
+	}
+	to := func(there bool) {
+		t.Helper()
+		was := lines("switched=true")
+		p.rewrite(func(string) string { return file(there) })
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		for end := time.Now().Add(patience); lines("switched=true") == was; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("waited in vain for the switch")
+			}
+		}
+		if q := p.watched(); q != fmt.Sprintf("follow=1&since=%d", seq) {
+			t.Fatalf("watches from %s, the list in force is %d", q, seq)
+		}
+	}
+
+	// In hand across the switch: one that needs all, and one whose second step has no counterpart there.
+	hold := make(chan struct{})
+	for _, n := range p.nodes {
+		n.note(func() { n.hold = hold })
+	}
+	held := make(chan answer, 2)
+	for _, kind := range []string{"all", "two"} {
+		r := p.request(kind, search(0, 1))
+		go func() { held <- p.send(r) }()
+	}
+	p.until(t, "the parts in hand", func() bool {
+		n := 0
+		for _, x := range p.nodes {
+			n += len(x.got)
+		}
+		return n == 4 // each search has nodes of its own
+	})
+	to(true)
+	close(hold)
+	for range 2 {
+		if a := <-held; a.Status != 200 || !a.Finished {
+			t.Fatalf("what was in hand got %+v", a)
+		}
+	}
+	p.whole("report", []int{0, 1, 2, 3, 4, 5, 6, 7}, 0, 1, 2, 3, 4, 5, 6, 7)
+	if a := p.send(p.request("two", search(0))); a.Status != 400 {
+		t.Fatalf("a type that is gone got %+v", a)
+	}
+	if a := p.send(p.request("all", search(7), "X-Customer", "zest")); a.Status != 200 {
+		t.Fatalf("a new dealer got %+v", a)
+	}
+	p.Lock()
+	for i, n := range p.nodes { // a node holds the shards of its cell and of the one before
+		for _, g := range n.got[:] {
+			if g.shard > 3 && g.shard%4 != i && (g.shard+1)%4 != i {
+				t.Errorf("node %d got shard %d", i, g.shard)
+			}
+		}
+	}
+	p.Unlock()
+
+	// There and back under load.
+	stop, ended := make(chan struct{}), make(chan int)
+	for c := range 4 {
+		go func() {
+			n := 0
+			for ; ; n++ {
+				select {
+				case <-stop:
+					ended <- n
+					return
+				default:
+				}
+				r, _ := http.NewRequest("POST", "http://"+p.addr+"/any", strings.NewReader(search(0, 1, 2, 3)))
+				r.Header.Set("X-Trace-Id", fmt.Sprintf("load-%d-%d", c, n))
+				r.Header.Set("X-Expires-In", "8000m")
+				res, err := http.DefaultClient.Do(r)
+				if err != nil {
+					t.Error(err)
+					continue
+				}
+				io.Copy(io.Discard, res.Body)
+				if res.Body.Close(); res.StatusCode != 200 {
+					t.Errorf("under load: %s", res.Status)
+				}
+			}
+		}()
+	}
+	for i := range 6 {
+		to(i%2 == 1)
+	}
+	to(false)
+	close(stop)
+	sum := 0
+	for range 4 {
+		sum += <-ended
+	}
+	if sum < 20 {
+		t.Fatalf("%d searches under load", sum)
+	}
+	got, _ := p.got()
+	seen := map[string]bool{}
+	for _, g := range got {
+		if seen[g.id] {
+			t.Errorf("part %s went out twice", g.id)
+		}
+		seen[g.id] = true
+	}
+	p.whole("two", []int{1}, 0, 1)
+
+	// What cannot be used changes nothing, whole or not at all.
+	p.rewrite(func(string) string { return strings.Replace(file(true), `"mostTries":4`, `"mostTries":0`, 1) })
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.line("level=error", "tries must be at least 1", "the running one stays")
+	p.rewrite(func(string) string { return strings.Replace(file(true), `"tick":5`, `"tick":6`, 1) })
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.line("switched=false", "restart=\"[settings.tick]\"")
+	p.whole("two", []int{1}, 0, 1)
+	p.stop()
+}
--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -41,5 +41,5 @@
 		}
 	}
 	log.WithFields(logrus.Fields{"watches": d.Watches, "words": d.Words, "entries": d.Entries, "broken": d.Broken,
-		"lists": c.Lists}).Info("counters: discovery")
+		"lists": c.Lists, "restated": c.Restated}).Info("counters: discovery")
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -210,8 +210,7 @@
 	limit(boot)
 
 	tick := time.Duration(boot.Terms.Tick * float64(time.Second))
-	fleet := nodes.NewFleet(nodes.Limits{Streams: boot.Streams, Connect: boot.Connect, Idle: boot.Idle,
-		Longest: boot.Longest, Cancel: boot.Terms.MayCancel, Pause: tick}, log)
+	fleet := nodes.NewFleet(stated(boot, tick), log)
 	backs, pool, room := []routing.Leaves{fleet}, &shared{backs: []clients.Others{fleet}}, &parts.Room{}
 	var leaves Back
 	if chosen.Flight.Leaves {
@@ -273,6 +272,7 @@
 	log.WithField("name", boot.Name).WithField("listen", server.Addr()).WithField("nodes", len(boot.Known.Hosts)).
 		WithField("memory", debug.SetMemoryLimit(-1)).WithField("processors", runtime.GOMAXPROCS(0)).Info("serving")
 
+	longest := boot.Longest // of all settings so far: what is in hand goes by those it came under
 	for draining := false; ; {
 		select {
 		case s := <-signals:
@@ -287,16 +287,37 @@
 				}
 				limit(again)
 				apply(log, newer)
-				list.Move(again.Discovery)
-				log.WithField("discovery", again.Discovery).WithField("restart", append(boot.Differs(again), chosen.Differs(newer)...)).
+				restart, fixed := boot.Differs(again)
+				if leaves != nil && !boot.Links(again.Deployment) {
+					fixed = append(fixed, "settings.policyLimits (with flight.leaves)")
+				}
+				restart = append(append(restart, fixed...), chosen.Differs(newer)...)
+				switched, moved := false, !boot.Layout(again.Deployment)
+				if len(fixed) == 0 && !boot.Same(again.Deployment) {
+					if err := router.Restate(again.Deployment, again.Known); err != nil {
+						log.WithError(err).Error("the configuration could not be put in force, the running one stays")
+						break
+					}
+					fleet.Restate(stated(again, tick))
+					server.Restate(again.Longest)
+					longest = max(longest, again.Longest)
+					boot.Deployment, switched = again.Deployment, true
+				}
+				if switched && moved {
+					list.Rewind(again.Discovery, again.Known)
+				} else {
+					list.Move(again.Discovery)
+				}
+				log.WithField("discovery", again.Discovery).WithField("switched", switched).WithField("restart", restart).
 					Info("configuration read again")
 			case draining:
 				return errors.New("a second signal came while draining")
 			default:
 				draining = true
 				log.WithField("signal", s.String()).Info("draining")
+				bound := late + longest
 				go func() {
-					ctx, cancel := context.WithTimeout(context.Background(), late+boot.Longest)
+					ctx, cancel := context.WithTimeout(context.Background(), bound)
 					defer cancel()
 					var doors sync.WaitGroup
 					if door != nil {
@@ -335,6 +356,12 @@
 	form(log, o.Log.Format)
 }
 
+// stated are the limits that the settings put on connections to nodes.
+func stated(b *protocol.Boot, tick time.Duration) nodes.Limits {
+	return nodes.Limits{Streams: b.Streams, Connect: b.Connect, Idle: b.Idle, Longest: b.Longest,
+		Cancel: b.Terms.MayCancel, Pause: tick}
+}
+
 // limit applies what can change while the program runs.
 func limit(boot *protocol.Boot) {
 	debug.SetMemoryLimit(int64(float64(boot.Memory) * (1 - spare)))
--- a/internal/program/withflight/withflight.go
+++ b/internal/program/withflight/withflight.go
@@ -25,7 +25,7 @@
 		},
 		Door: func(b *protocol.Boot, o *options.Options, r *routing.Router, log *logrus.Logger) (program.Door, error) {
 			return flightdoor.Listen(o.Flight.Listen, flightdoor.Limits{Longest: b.Longest, Write: b.Longest, Idle: b.Idle,
-				Streams: o.Flight.Streams, Conns: o.Flight.Conns}, b.ParseSearch, r.Search, r.Ready, log)
+				Streams: o.Flight.Streams, Conns: o.Flight.Conns}, r.ParseSearch, r.Search, r.Ready, log)
 		},
 	}
 }
--- a/internal/protocol/boot.go
+++ b/internal/protocol/boot.go
@@ -76,17 +76,35 @@
 	return b, nil
 }
 
-// Differs names the fields of a newer configuration that only a restart puts in force. The seed is
-// new in each file and the list is discovery's to tell, so neither counts.
-func (b *Boot) Differs(newer *Boot) (fields []string) {
-	was, is := *b.Deployment, *newer.Deployment
-	is.Terms.Seed = was.Terms.Seed
+// Differs names the fields of a newer configuration that only a restart puts in force. The seed is new in each file
+// and the list is discovery's to tell, so neither counts; fixed are those of the settings, which are put in force
+// whole or not at all.
+func (b *Boot) Differs(newer *Boot) (fields, fixed []string) {
 	for _, f := range []struct {
 		name string
 		same bool
 	}{
 		{"name", b.Name == newer.Name}, {"listen", b.Listen == newer.Listen},
-		{"limits.sockets", b.Sockets == newer.Sockets}, {"settings", reflect.DeepEqual(was, is)},
+		{"limits.sockets", b.Sockets == newer.Sockets},
+	} {
+		if !f.same {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields, b.Deployment.Fixed(newer.Deployment)
+}
+
+// Fixed names the settings of a newer deployment that only a restart puts in force.
+func (d *Deployment) Fixed(newer *Deployment) (fields []string) {
+	was, is := &d.Terms, &newer.Terms
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"settings.tick", was.Tick == is.Tick}, {"settings.myZone", d.Zone == newer.Zone},
+		{"settings.discovery", was.Asked == is.Asked},
+		{"settings.rules.cold and coldFrom (with halls.guard)", was.Halls == nil || was.Cold == is.Cold && was.ColdFrom == is.ColdFrom},
+		{"settings.policyLimits.mayProbe (with halls.guard)", was.Halls == nil || was.MayProbe == is.MayProbe},
 	} {
 		if !f.same {
 			fields = append(fields, f.name)
@@ -94,3 +112,21 @@
 	}
 	return fields
 }
+
+// Layout says whether shards lie as in another deployment.
+func (d *Deployment) Layout(o *Deployment) bool {
+	return d.Terms.Cells == o.Terms.Cells && d.Terms.Reach == o.Terms.Reach && d.Terms.Shards == o.Terms.Shards
+}
+
+// Links says whether connections to nodes are held to the same limits.
+func (d *Deployment) Links(o *Deployment) bool {
+	return d.Streams == o.Streams && d.Connect == o.Connect && d.Idle == o.Idle && d.Longest == o.Longest &&
+		d.Terms.MayCancel == o.Terms.MayCancel
+}
+
+// Same says whether two deployments state the same, whatever their seed.
+func (d *Deployment) Same(newer *Deployment) bool {
+	was, is := *d, *newer
+	is.Terms.Seed, is.Terms.Halls, is.Order = was.Terms.Seed, was.Terms.Halls, was.Order
+	return reflect.DeepEqual(was, is)
+}
--- a/internal/protocol/search.go
+++ b/internal/protocol/search.go
@@ -16,7 +16,9 @@
 // Search is what a client asks for. Left is in seconds.
 type Search struct {
 	ID           string
-	Kind, Dealer int // the dealer is below 0 where none is named
+	Kind, Dealer int         // the dealer is below 0 where none is named
+	Type, Client string      // their names
+	Under        *Deployment // that gave them their numbers
 	Left         float64
 	Text         string
 	Parts        []Part
@@ -35,7 +37,7 @@
 
 // ParseSearch reads a request; every error is a *BadField.
 func (d *Deployment) ParseSearch(path string, h http.Header, body []byte) (*Search, error) {
-	s := &Search{ID: h.Get("X-Trace-Id"), Dealer: -1}
+	s := &Search{ID: h.Get("X-Trace-Id"), Dealer: -1, Under: d}
 	if !plain(s.ID) {
 		return nil, &BadField{"X-Trace-Id", "1 to 64 letters, digits, '-' or '_'"}
 	}
@@ -44,6 +46,7 @@
 	if s.Kind, ok = d.Kinds[name]; !ok {
 		return nil, &BadField{"path", "a query type that is served here as its first part"}
 	}
+	s.Type = name
 	if q := h.Get("X-Qos"); q != "" && q != name {
 		return nil, &BadField{"X-Qos", "the query type that the path names"}
 	}
@@ -51,6 +54,7 @@
 		if s.Dealer, ok = d.Dealers[c]; !ok {
 			return nil, &BadField{"X-Customer", "a dealer that is known here"}
 		}
+		s.Client = c
 	}
 	if s.Left, ok = parseLeft(h.Get("X-Expires-In")); !ok {
 		return nil, &BadField{"X-Expires-In", "a number above 0 and a unit, m or u"}
@@ -89,6 +93,26 @@
 	return s, nil
 }
 
+// Renumber reads a search's numbers anew under other settings, which came between its reading and its taking; it
+// says whether these serve it.
+func (s *Search) Renumber(d *Deployment) (ok bool) {
+	if s.Kind, ok = d.Kinds[s.Type]; !ok {
+		return false
+	}
+	if s.Client != "" {
+		if s.Dealer, ok = d.Dealers[s.Client]; !ok {
+			return false
+		}
+	}
+	for _, p := range s.Parts {
+		if p.Shard >= d.Terms.Shards {
+			return false
+		}
+	}
+	s.Under = d
+	return true
+}
+
 // plain: may this stand in a frame's line? It must not bring blanks or ends of lines there.
 func plain(id string) bool {
 	if id == "" || len(id) > 64 {
--- a/internal/protocol/terms.go
+++ b/internal/protocol/terms.go
@@ -35,9 +35,9 @@
 		CountedOver, FurtherRatio, MinExtra float64
 		DrainGrace                          float64
 	}
-	Discovery, MyZone, WorthBy string
-	Instances                  int
-	OverShareWorth, Tick       float64
+	Discovery, MyZone    string
+	Instances            int
+	OverShareWorth, Tick float64
 }
 
 const ms = 1e-3
@@ -74,7 +74,7 @@
 		Streams: l.StreamsPerConn, Connect: millis(l.DialTimeout), Idle: millis(l.Keepalive),
 		Grace: millis(r.DrainGrace)}
 	d.Terms = balance.Terms{Seed: seed, Brokers: s.Instances, Tick: s.Tick * ms,
-		OverShare: s.OverShareWorth, ByWork: s.WorthBy == "work", Cells: f.Places, Reach: f.Reach, Shards: f.Slices,
+		OverShare: s.OverShareWorth, Cells: f.Places, Reach: f.Reach, Shards: f.Slices,
 		PerCall: f.PerCall, Tries: l.MostTries, MayCancel: l.MayCancel, MayProbe: l.MayProbe,
 		Asked: s.Discovery == "on_request", Cold: r.Cold * ms, ColdFrom: r.ColdFrom, Fall: r.Fall * ms,
 		FallMultiple: r.FallMultiple, Extra: r.MinExtra, ExtraShare: r.FurtherRatio, Over: r.CountedOver * ms}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -105,7 +105,7 @@
 		return nil, err
 	}
 	r.Door, err = flightdoor.Listen("127.0.0.1:0", flightdoor.Limits{Longest: d.Longest, Write: cmp.Or(b.Write, d.Longest), Idle: d.Idle, Streams: 512, Conns: 64},
-		d.ParseSearch, r.Router.Search, r.Router.Ready, log)
+		r.Router.ParseSearch, r.Router.Search, r.Router.Ready, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -43,6 +43,7 @@
 
 	q      *balance.Search
 	pieces []*piece
+	fetch  int    // parts of a second step
 	first  int    // where the current step's pieces begin
 	extra  string // what the lists of a second step hold besides
 	schema []byte // of the current step's tables, by the first that came
@@ -74,7 +75,7 @@
 // Search takes one search from its door to its final answer, which the door writes and then frees. An error
 // says that the client has left and gets none. It is called from the door's goroutine and waits.
 func (r *Router) Search(ctx context.Context, s *protocol.Search, came time.Time) (protocol.Final, error) {
-	left := time.Duration(min(s.Left, r.d.Longest.Seconds()) * float64(time.Second))
+	left := time.Duration(min(s.Left, s.Under.Longest.Seconds()) * float64(time.Second))
 	ex := &Exchange{r: r, search: s, until: came.Add(left), done: make(chan verdict, 1)}
 	if !r.post(func() { r.take(ex) }) {
 		return protocol.Final{How: protocol.Stopped}, nil
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -59,8 +59,7 @@
 
 func (r *Router) Answer(q *balance.Search, whole bool) {
 	ex := r.places[q.Place()]
-	fetch := r.d.Terms.Types[ex.search.Kind].Fetch
-	if fetch > 0 && ex.first == 0 {
+	if fetch := ex.fetch; fetch > 0 && ex.first == 0 {
 		var shards []int
 		shards, ex.extra = ex.second(fetch, whole)
 		ex.first, ex.schema, ex.texts = len(ex.pieces), nil, false
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -1,6 +1,9 @@
 package routing
 
 import (
+	"errors"
+	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -15,8 +18,9 @@
 // Router owns the broker: one goroutine takes in what happened, closes the turn, and hands out
 // what the broker asked for. It waits for nothing but its queue and its clock.
 type Router struct {
-	d      *protocol.Deployment
-	backs  []Leaves // for nodes that speak in frames, then for those that speak Flight, if there is one
+	d      *protocol.Deployment                // in force; the goroutine's own
+	live   atomic.Pointer[protocol.Deployment] // the same, for all others
+	backs  []Leaves                            // for nodes that speak in frames, then for those that speak Flight, if there is one
 	known  protocol.Listing
 	follow func() // starts the watch where the list has to be asked for
 	calls  chan func()
@@ -67,7 +71,7 @@
 	Outcomes                                              [8]int
 	Turns, Calls                                          int
 	Probed                                                int
-	Lists                                                 int
+	Lists, Restated                                       int
 	Mute, Unlike                                          int // entries that speak Flight where that is off; values that fit no others
 }
 
@@ -87,9 +91,57 @@
 		return nil, err
 	}
 	r.known = known
+	r.live.Store(d)
 	return r, nil
 }
 
+// ParseSearch reads a request by the settings in force.
+func (r *Router) ParseSearch(path string, h http.Header, body []byte) (*protocol.Search, error) {
+	return r.live.Load().ParseSearch(path, h, body)
+}
+
+// Restate puts other settings in force, or none of them: what is in hand ends by those it came under, what comes
+// from now on goes by the new ones. known is the list that belongs to them, taken in where the shards lie otherwise.
+// What only a restart puts in force (Deployment.Fixed) has to be the same.
+func (r *Router) Restate(d *protocol.Deployment, known protocol.Listing) error {
+	told := make(chan error, 1)
+	if r.post(func() { told <- r.restate(d, known) }) {
+		select {
+		case err := <-told:
+			return err
+		case <-r.ended:
+		}
+	}
+	return errors.New("the router has ended")
+}
+
+func (r *Router) restate(d *protocol.Deployment, known protocol.Listing) error {
+	if fixed := r.d.Fixed(d); len(fixed) > 0 {
+		return fmt.Errorf("field %s: only a restart changes it", strings.Join(fixed, ", "))
+	}
+	was := make([]int, len(d.Terms.Types))
+	for name, i := range d.Kinds {
+		if old, ok := r.d.Kinds[name]; ok {
+			was[i] = old
+		} else {
+			was[i] = -1
+		}
+	}
+	t, old := &d.Terms, &r.d.Terms
+	if err := r.broker.Restate(*t, was); err != nil {
+		return err
+	}
+	moved := !r.d.Layout(d)
+	d.Order, t.Halls = r.d.Order, old.Halls
+	r.d = d
+	r.live.Store(d)
+	r.count.Restated++
+	if moved && known.Whole {
+		r.list(known)
+	}
+	return nil
+}
+
 // Follow says how to start the watch once the module asks for it.
 func (r *Router) Follow(start func()) { r.follow = start }
 
@@ -318,6 +370,12 @@
 // take takes a search in, or refuses it at the door.
 func (r *Router) take(ex *Exchange) {
 	s := ex.search
+	// Settings that came while it was on its way here may not serve it: it was never taken, and may come again.
+	if s.Under != r.d && !s.Renumber(r.d) {
+		r.count.Full++
+		ex.done <- verdict{Final: protocol.Final{How: protocol.Full}}
+		return
+	}
 	// More than the deployment lets a broker hold is refused unseen, as its settings say.
 	if r.open+1+len(s.Parts) > r.d.Open {
 		r.count.Full++
@@ -329,6 +387,7 @@
 		ex.done <- verdict{Final: protocol.Final{How: protocol.Twice}}
 		return
 	}
+	ex.fetch = r.d.Terms.Types[s.Kind].Fetch
 	ex.q = r.broker.Take(s.Kind, s.Dealer, max(ex.until.Sub(r.turn).Seconds(), 0))
 	for len(r.places) <= ex.q.Place() {
 		r.places = append(r.places, nil)
--- a/internal/routing/tripper.go
+++ b/internal/routing/tripper.go
@@ -39,13 +39,13 @@
 		return t.refuse(req, http.StatusRequestEntityTooLarge,
 			fmt.Sprintf("body: expected %d bytes at most", protocol.MaxBody))
 	} else if errors.Is(err, os.ErrDeadlineExceeded) {
-		return t.refuse(req, http.StatusRequestTimeout, fmt.Sprintf("body: expected whole within %s", t.r.d.Longest))
+		return t.refuse(req, http.StatusRequestTimeout, fmt.Sprintf("body: expected whole within %s", t.r.live.Load().Longest))
 	} else if err != nil {
 		t.bad.Add(1)
 		return nil, err
 	}
 	came := time.Now()
-	s, err := t.r.d.ParseSearch(req.URL.Path, req.Header, body)
+	s, err := t.r.ParseSearch(req.URL.Path, req.Header, body)
 	if err != nil {
 		return t.refuse(req, http.StatusBadRequest, err.Error())
 	}
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -39,12 +39,13 @@
 
 // Server is the side that clients see.
 type Server struct {
-	limits Limits
-	others Others
-	log    *logrus.Logger
-	http   http.Server
-	quiet  io.Closer // what the HTTP library has to say goes to the log through it
-	ln     net.Listener
+	limits  Limits
+	request atomic.Int64 // the limit of that name, in nanoseconds
+	others  Others
+	log     *logrus.Logger
+	http    http.Server
+	quiet   io.Closer // what the HTTP library has to say goes to the log through it
+	ln      net.Listener
 
 	unused atomic.Int64 // connections between requests
 
@@ -70,6 +71,7 @@
 	}
 	s := &Server{limits: l, others: others, log: log, ln: ln, conns: map[*conn]struct{}{}}
 	s.count.Codes = map[string]int{}
+	s.Restate(l.Request)
 	words := log.WriterLevel(logrus.WarnLevel)
 	s.quiet = words
 	quiet := stdlog.New(words, "", 0)
@@ -96,7 +98,9 @@
 		// The bound is on reading the body alone: a read deadline that went on would pass for a client
 		// that left while its search is in hand.
 		rc := http.NewResponseController(w)
-		rc.SetReadDeadline(time.Now().Add(l.Request))
+		now, bound := time.Now(), time.Duration(s.request.Load())
+		rc.SetReadDeadline(now.Add(bound))
+		rc.SetWriteDeadline(now.Add(3 * bound))
 		r.Body = &body{r.Body, func() { rc.SetReadDeadline(time.Time{}) }}
 		proxy.ServeHTTP(w, r)
 	}
@@ -121,6 +125,9 @@
 	return n, err
 }
 
+// Restate puts another bound on reading a request and writing an answer in force, for requests from now on.
+func (s *Server) Restate(request time.Duration) { s.request.Store(int64(request)) }
+
 type key struct{}
 
 // Addr is where it listens.
--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -75,7 +75,7 @@
 // fresh guards against a request that crosses the other side's close: an unused connection is let
 // go while a frame still has all the time to get there that a connection gets to come up.
 func (c *conn) fresh() bool {
-	return !c.unused() || time.Since(c.usedAt) < c.peer.fleet.limits.Idle-c.peer.fleet.limits.Connect
+	return !c.unused() || time.Since(c.usedAt) < c.peer.fleet.limits().Idle-c.peer.fleet.limits().Connect
 }
 
 // room says whether a call more may go on the connection. Guards against second copies: at a node that works on
@@ -83,8 +83,8 @@
 // connection that carries all it may is not read, give-ups on it neither. The node would still hold what another
 // gets next, or take up later what lies unread. So one place stays free, and given-up parts count.
 func (c *conn) room() bool {
-	most := c.peer.fleet.limits.Streams
-	if c.peer.fleet.limits.Cancel {
+	most := c.peer.fleet.limits().Streams
+	if c.peer.fleet.limits().Cancel {
 		most = max(most-1, 1)
 	}
 	if c.calls < most && c.calls+len(c.ghosts) >= most {
@@ -128,7 +128,7 @@
 		return
 	}
 	f, sent := c.peer.fleet, time.Now()
-	c.doubt = time.AfterFunc(f.limits.Connect, func() {
+	c.doubt = time.AfterFunc(f.limits().Connect, func() {
 		f.mu.Lock()
 		backs := c.probes
 		c.probes = nil
@@ -211,7 +211,7 @@
 
 func (c *conn) dial() (code string, err error) {
 	f := c.peer.fleet
-	sock, err := f.limits.Dial.Patient(f.ctx, c.peer.addr, f.room, f.limits.Pause, f.limits.Connect)
+	sock, err := f.limits().Dial.Patient(f.ctx, c.peer.addr, f.room, f.limits().Pause, f.limits().Connect)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil {
@@ -237,7 +237,7 @@
 	if !c.up || c.closed {
 		return
 	}
-	l, now := c.peer.fleet.limits, time.Now()
+	l, now := c.peer.fleet.limits(), time.Now()
 	if c.unused() {
 		c.busyAt = time.Time{}
 		c.sock.SetReadDeadline(now.Add(l.Idle - l.Connect))
@@ -306,7 +306,7 @@
 		if len(buf) == 0 {
 			continue
 		}
-		c.sock.SetWriteDeadline(time.Now().Add(f.limits.Longest))
+		c.sock.SetWriteDeadline(time.Now().Add(f.limits().Longest))
 		n, err := c.sock.Write(buf)
 		f.mu.Lock()
 		f.count.BytesOut += int64(n)
--- a/internal/transport/nodes/fleet.go
+++ b/internal/transport/nodes/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,12 +29,12 @@
 
 // Fleet holds the connections to all nodes. Its calls never wait for a socket.
 type Fleet struct {
-	limits Limits
-	log    *logrus.Logger
-	ctx    context.Context
-	stop   context.CancelFunc
-	ended  sync.WaitGroup
-	room   func(most int) int
+	terms atomic.Pointer[Limits]
+	log   *logrus.Logger
+	ctx   context.Context
+	stop  context.CancelFunc
+	ended sync.WaitGroup
+	room  func(most int) int
 
 	mu      sync.Mutex
 	peers   map[string]*peer
@@ -59,15 +60,23 @@
 
 // NewFleet makes a fleet without connections.
 func NewFleet(l Limits, log *logrus.Logger) *Fleet {
-	if l.Dial == nil {
-		l.Dial = (&net.Dialer{Timeout: l.Connect, KeepAlive: -1}).DialContext
-	}
-	f := &Fleet{limits: l, log: log, peers: map[string]*peer{}, room: func(int) int { return 0 }}
+	f := &Fleet{log: log, peers: map[string]*peer{}, room: func(int) int { return 0 }}
 	f.count.Codes = map[string]int{}
 	f.ctx, f.stop = context.WithCancel(context.Background())
+	f.Restate(l)
 	return f
 }
 
+// Restate puts other limits in force: connections that are up stay, and are held to them from their next use on.
+func (f *Fleet) Restate(l Limits) {
+	if l.Dial == nil {
+		l.Dial = (&net.Dialer{Timeout: l.Connect, KeepAlive: -1}).DialContext
+	}
+	f.terms.Store(&l)
+}
+
+func (f *Fleet) limits() *Limits { return f.terms.Load() }
+
 // Share names what closes up to so many unused connections where no descriptor can be had, and says how
 // many it closed. It has to come before the first call; it may be called from any goroutine.
 func (f *Fleet) Share(room func(most int) int) { f.room = room }
@@ -111,10 +120,10 @@
 	over = true
 	if c.parts[p.ID] == p {
 		delete(c.parts, p.ID)
-		if f.limits.Cancel {
+		if f.limits().Cancel {
 			p.left, over = how, false
 			c.ghosts[p.ID] = p.Until
-			if c.put(op{giveUp: p}); c.calls >= f.limits.Streams && p.call.out == 1 {
+			if c.put(op{giveUp: p}); c.calls >= f.limits().Streams && p.call.out == 1 {
 				c.close("given") // full as it is, it would not be read
 			}
 		} else if p.hand { // its node may yet get it: not over before that is known
--- a/internal/transport/watch/watch.go
+++ b/internal/transport/watch/watch.go
@@ -41,6 +41,7 @@
 
 	mu    sync.Mutex
 	addr  string
+	from  *int64             // the version that the next watch goes on from, where that is not the one in hand
 	turn  context.CancelFunc // ends the watch that runs, or the wait for the next
 	count Counts
 }
@@ -84,6 +85,14 @@
 	}
 }
 
+// Rewind goes on from another list, at an address that may be another: what is told next is what changed since then.
+func (w *Watch) Rewind(addr string, known protocol.Listing) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addr, w.from = addr, &known.Seq
+	w.turn()
+}
+
 // Close ends it and waits.
 func (w *Watch) Close() {
 	w.mu.Lock()
@@ -110,6 +119,9 @@
 		turn, cancel := context.WithCancel(ctx)
 		w.mu.Lock()
 		addr := w.addr
+		if w.from != nil {
+			w.seq, w.from = *w.from, nil
+		}
 		w.turn = cancel
 		w.mu.Unlock()
 		began := time.Now()
