A node's record weighs by how seldom a broker hears of its nodes

Cause: in a fleet of three brokers a single late part sends the load of one of two holders to the other (shy). Change: the weight grows with memory from two seconds on, below which last replies tell enough.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,8 @@
 
 	overdue  = 0.3  // share of the latency target after which silence sends a part elsewhere,
 	better   = 0.5  // where the other holder lags by less than this share of the wait
-	told     = 2.5  // how much of a worse record already counts as late when nodes are chosen
+	told     = 2.5  // how much of a worse record already counts as late when nodes are chosen,
+	seldom   = 2.0  // the less, the nearer memory is to so many seconds: last replies tell enough there
 	replies  = 3.0  // outcomes of a node in whose time what is known of it halves
 	recall   = 2.0  // memories in which a node's record halves
 	doubt    = 3.0  // weight of what a record does not know
@@ -51,7 +52,7 @@
 	capCut, capRest               = 0.85, 0.25      // factor by which, and seconds between
 	shedFrom, shedFull            = 0.35, 0.8       // expected share of the target: first shed, all shed
 	mostTilt                      = 0.0
-	shedTilt                      = 0.25              // move for an e-fold of value for work; the least
+	shedTilt                      = 0.25              // power of its value by which that range moves
 	slackUp, slackDown, slackBack = 0.006, 0.06, 0.03 // how answers, overruns, judgements move these
 	learnLag, learnPace           = 0.3, 0.1          // newest reply's weight in a node's lateness, pace,
 	learnFleet, learnUsual        = 0.02, 0.05        // the fleet's pace, a type's usual reply time;
@@ -491,9 +492,11 @@
 }
 
 // shy guards against drawing more to a node that fails fast, or loses parts of this broker while others come
-// back, before that is enough to leave it out; as nobody waits for either, none is shed for it.
+// back, before that is enough to leave it out; nobody waits for either, so none is shed for it. Where a broker
+// hears of its nodes often, a single failure would only send the load of one holder to the next.
 func (b *Broker) shy(n *node) float64 {
-	return max(b.lag(n), dull*b.tight*max(math.Exp2((n.failedAt-b.now)/b.memory), min(told*b.worse(n), 1)))
+	return max(b.lag(n), dull*b.tight*max(math.Exp2((n.failedAt-b.now)/b.memory),
+		min(told*max(1-seldom/b.memory, 0)*b.worse(n), 1)))
 }
 
 // unlucky sheds by chance under overload: the more of its target a search is expected to
