--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,7 +45,7 @@
 
 	memory, longest               = 1.0, 20.0       // but in so many seconds at least, and at most
 	firstRest, lastRest           = 0.5, 4.0        // seconds before a sick node is asked again
-	own, ownFew, ownOver          = 0.2, 10.0, 10.0 // budget where none is stated: share, few, seconds
+	own, ownFew, ownOver          = 0.5, 30.0, 10.0 // budget where none is stated: share, few, seconds
 	saved, few                    = 2.0, 3.0        // seconds of its share, or searches, a dealer may save up
 	sweepTicks, guardTicks        = 4, 3            // ticks between sweeps; and to spare at a client's end
 	lateLot, lateNew              = 0.25, 0.1       // share late or full that lowers the cap; its pace
@@ -492,8 +492,8 @@
 }
 
 // shy guards against drawing more to a node that fails fast, or loses parts of this broker while others come
-// back, before that is enough to leave it out; nobody waits for either, so none is shed for it. Where a broker
-// hears of its nodes often, a single failure would only send the load of one holder to the next.
+// back, before that is enough to leave it out; nobody waits for either, so none is shed for it. Where a
+// broker hears of its nodes often, a single failure would only send the load of one holder to the next.
 func (b *Broker) shy(n *node) float64 {
 	return max(b.lag(n), dull*b.tight*max(math.Exp2((n.failedAt-b.now)/b.memory),
 		min(told*max(1-seldom/b.memory, 0)*b.worse(n), 1)))
