Connections are closed as silent only once their part is beyond patience

Dropped: shedding (2.7% late), the lists, descriptors (85 of 576). Change: closed only where the oldest part is also beyond the patience that moves have. TestJamClosesNoConnections fails without it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -696,8 +696,9 @@
 						n.lat, n.latAt = max(n.lat, age), b.now
 					}
 				}
-				// Guards against connections that fell silent: what is out on them may be sent anew.
-				if p == n.oldest && age > better*k.aim {
+				// Guards against connections that fell silent: what is out on them may be sent anew. In a jam
+				// they are not: each part that a close sends round again, and each new connection, feeds it.
+				if p == n.oldest && age > max(better*k.aim, k.usual+b.patience*k.swing) {
 					b.host.Renew(i, better*k.aim)
 				}
 				// Hung parts leave the cap, or the head search would hold its share of it for ever.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -699,6 +699,22 @@
 	}
 }
 
+// TestJamClosesNoConnections: where replies often take more than half of the target, silence of that length is a line.
+func TestJamClosesNoConnections(t *testing.T) {
+	w := plain(t, 2)
+	for i := range 60 {
+		a := w.ask(0, 4, 0)
+		if w.pass(0.1); i%2 == 0 {
+			w.pass(0.35)
+		}
+		w.reply(a, 0, OK)
+	}
+	w.ask(0, 4, 0)
+	if w.pass(0.8); w.quiet != 0 {
+		t.Fatalf("connections quiet for %g s are closed though replies often take as long", w.quiet)
+	}
+}
+
 // TestLostPartsMove: a node that swallows a part goes on answering others, and another that failed
 // quickly a moment ago can still take it.
 func TestLostPartsMove(t *testing.T) {
