--- a/cmd/brackenfront/program_test.go
+++ b/cmd/brackenfront/program_test.go
@@ -877,6 +877,26 @@
 	p.rewrite(func(string) string { return strings.Replace(file(true), `"mostTries":4`, `"mostTries":0`, 1) })
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.line("level=error", "tries must be at least 1", "the running one stays")
+	for _, bad := range []struct{ what, with, says string }{
+		{file(true), "", "unexpected end"}, {`"minShare":[0.5,`, `"minShare":[2,`, "shares make no sense"},
+		{`"effect":"read_like"`, `"effect":"often"`, "lanes[0].effect"}, {`"giveUp":9000`, `"giveUp":"long"`, "of type float64"},
+		{`"places":4`, `"places":1`, "do not make a layout"},
+	} {
+		p.rewrite(func(string) string { return strings.Replace(file(true), bad.what, bad.with, 1) })
+		if bad.with == "" { // torn
+			p.rewrite(func(string) string { f := file(true); return f[:len(f)/2] })
+		}
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.line("level=error", bad.says, "the running one stays")
+	}
+	p.rewrite(func(string) string {
+		return strings.Replace(file(true), `"listen":"127.0.0.1:0"`, `"listen":"127.0.0.1:1"`, 1)
+	})
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.line("switched=false", "restart=\"[listen]\"")
+	os.Remove(p.config)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.line("level=error", "no such file", "the running one stays")
 	p.rewrite(func(string) string { return strings.Replace(file(true), `"tick":5`, `"tick":6`, 1) })
 	p.cmd.Process.Signal(syscall.SIGHUP)
 	p.line("switched=false", "restart=\"[settings.tick]\"")
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -291,7 +291,8 @@
 				if leaves != nil && !boot.Links(again.Deployment) {
 					fixed = append(fixed, "settings.policyLimits (with flight.leaves)")
 				}
-				restart = append(append(restart, fixed...), chosen.Differs(newer)...)
+				fixed = append(restart, fixed...) // with any of these the file is another broker's
+				restart = append(slices.Clone(fixed), chosen.Differs(newer)...)
 				switched, moved := false, !boot.Layout(again.Deployment)
 				if len(fixed) == 0 && !boot.Same(again.Deployment) {
 					if err := router.Restate(again.Deployment, again.Known); err != nil {
