Terms that the module refuses are said by 'check' and when the file is read

Seen by trying docs/migration.md by hand: 'check' took mostTries 0, which only the switch refused. ParseBoot now makes a trial of the module; TestBootRefusesWhatTheModuleWould.

--- a/cmd/brackenfront/program_test.go
+++ b/cmd/brackenfront/program_test.go
@@ -507,7 +507,17 @@
 			return "hit"
 		})
 	}
-	p.whole("any", []int{0}, 0, 1)
+	// The answer waits for the rest to have gone out: what has not is dropped without a word to its node.
+	hold := make(chan struct{})
+	p.nodes[0].note(func() { p.nodes[0].hold = hold })
+	p.nodes[2].note(func() { p.nodes[2].hold = hold })
+	r, done := p.request("any", search(0, 1)), make(chan answer)
+	go func() { done <- p.send(r) }()
+	p.until(t, "the rest to go out", func() bool { return len(p.nodes[1].got)+len(p.nodes[3].got) == 1 })
+	close(hold)
+	if a := <-done; a.Status != 200 || !a.Finished || len(a.Found) != 1 || a.Found[0].Item != value(0) {
+		t.Fatalf("got %+v", a)
+	}
 	p.until(t, "the rest to be given up", func() bool { return len(p.nodes[1].given)+len(p.nodes[3].given) == 1 })
 	p.stop()
 }
--- a/internal/protocol/boot.go
+++ b/internal/protocol/boot.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"reflect"
 	"strconv"
+
+	"brackenfront/balance"
 )
 
 // Boot is what a broker is told at its start.
@@ -70,6 +72,9 @@
 	if b.Deployment, err = ParseSettings(c.Settings, seed); err == nil {
 		err = b.limits()
 	}
+	if err == nil { // what the module refuses is said when the file is read, not once it is put in force
+		_, err = balance.New(nil, b.Terms)
+	}
 	if err != nil {
 		return nil, wrong("settings", err)
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -190,3 +190,21 @@
 		t.Error(err)
 	}
 }
+
+func TestBootRefusesWhatTheModuleWould(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/sample.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	none := func(string) string { return "" }
+	if _, err := ParseBoot(raw, none); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range [][2]string{{`"mostTries": 3`, `"mostTries": 0`}, {`"minShare": [0.5]`, `"minShare": [0.6]`},
+		{`"places": 2`, `"places": 0`}, {`"coldFrom": 0.2`, `"coldFrom": 2`}} {
+		bad := strings.Replace(string(raw), c[0], c[1], 1)
+		if _, err := ParseBoot([]byte(bad), none); err == nil || !strings.Contains(err.Error(), "field settings") {
+			t.Errorf("%s: got %v, want an error that names settings", c[1], err)
+		}
+	}
+}
