Read once more: one check of terms, one list of fixed fields, limits read once a use

Found on reading the whole change: New's checks were run by making a trial broker at each reading of the file, now Terms.Check, which Restate and ParseBoot call; Boot.Differs gave two lists that its one caller put together again; a constant (mostTilt) was left of a failed try; connections read the fleet's limits twice or thrice a use, which a switch in between could mix. TestSilentNodeIsLeftProbedAndTakenBackCold has its first text again: it had been turned from silence to refused connections for a try that no longer holds. TestSwitch waits by event, not by sleeping. No decision changed.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -43,15 +43,14 @@
 	narrow   = 0.6  // weight of the part that decides, which may be one node's trouble
 	unseen   = 0.08 // share of the target that a part's work is taken for at first
 
-	memory, longest               = 1.0, 20.0       // but in so many seconds at least, and at most
-	firstRest, lastRest           = 0.5, 4.0        // seconds before a sick node is asked again
-	own, ownFew, ownOver          = 0.5, 30.0, 10.0 // budget where none is stated: share, few, seconds
-	saved, few                    = 2.0, 3.0        // seconds of its share, or searches, a dealer may save up
-	sweepTicks, guardTicks        = 4, 3            // ticks between sweeps; and to spare at a client's end
-	lateLot, lateNew              = 0.25, 0.1       // share late or full that lowers the cap; its pace
-	capCut, capRest               = 0.85, 0.25      // factor by which, and seconds between
-	shedFrom, shedFull            = 0.35, 0.8       // expected share of the target: first shed, all shed
-	mostTilt                      = 0.0
+	memory, longest               = 1.0, 20.0         // but in so many seconds at least, and at most
+	firstRest, lastRest           = 0.5, 4.0          // seconds before a sick node is asked again
+	own, ownFew, ownOver          = 0.5, 30.0, 10.0   // budget where none is stated: share, few, seconds
+	saved, few                    = 2.0, 3.0          // seconds of its share, or searches, a dealer may save up
+	sweepTicks, guardTicks        = 4, 3              // ticks between sweeps; and to spare at a client's end
+	lateLot, lateNew              = 0.25, 0.1         // share late or full that lowers the cap; its pace
+	capCut, capRest               = 0.85, 0.25        // factor by which, and seconds between
+	shedFrom, shedFull            = 0.35, 0.8         // expected share of the target: first shed, all shed
 	shedTilt                      = 0.25              // power of its value by which that range moves
 	slackUp, slackDown, slackBack = 0.006, 0.06, 0.03 // how answers, overruns, judgements move these
 	learnLag, learnPace           = 0.3, 0.1          // newest reply's weight in a node's lateness, pace,
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -253,7 +253,7 @@
 	}
 }
 
-func TestDeadNodeIsLeftProbedAndTakenBackCold(t *testing.T) {
+func TestSilentNodeIsLeftProbedAndTakenBackCold(t *testing.T) {
 	w := plain(t, 4)
 	dead := 0
 	for range 80 {
@@ -265,15 +265,13 @@
 					w.reply(a, i, Cancelled)
 				} else if p.out && p.node != dead {
 					w.reply(a, i, OK)
-				} else if p.out {
-					w.reply(a, i, Unreached)
 				}
 			}
 		}
 	}
 	n, before := &w.b.nodes[dead], len(w.sent[dead])
 	if !n.sick || len(w.probes) == 0 {
-		t.Fatal("a node that cannot be reached is not found sick and probed")
+		t.Fatal("a node that answers nothing is not found sick and probed")
 	}
 	w.turn(func() { w.b.Probed(dead, true) })
 	for range 20 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -110,11 +110,8 @@
 	return b, nil
 }
 
-// Restate puts other terms in force, or none of them. Searches in hand go on by those they were taken under, to the
-// holders of then; was tells the index that each query type had before, below 0 for a new one, so that what was learned
-// of it stays. The seed, the tick, how the list comes and the guard on halls stay as New was told. A List has to follow
-// where the layout differs.
-func (b *Broker) Restate(t Terms, was []int) error {
+// Check says what is wrong with terms, before anything is made of them.
+func (t *Terms) Check() error {
 	switch {
 	case len(t.Types) == 0:
 		return errors.New("no query types")
@@ -125,12 +122,25 @@
 	case t.Cold > 0 && (t.ColdFrom <= 0 || t.ColdFrom > 1 || t.Fall <= 0 || t.FallMultiple <= 0):
 		return errors.New("the figures for cold nodes do not fit together")
 	}
-	var kinds []*kind
-	tight := math.Inf(1)
-	for i, k := range t.Types {
+	for _, k := range t.Types {
 		if k.Target <= 0 || k.Timeout <= 0 || k.Need <= 0 || k.Need > 1 || k.Least > k.Need {
 			return errors.New("a query type's target, timeout or shares make no sense")
 		}
+	}
+	return nil
+}
+
+// Restate puts other terms in force, or none of them. Searches in hand go on by those they were taken under, to the
+// holders of then; was tells the index that each query type had before, below 0 for a new one, so that what was learned
+// of it stays. The seed, the tick, how the list comes and the guard on halls stay as New was told. A List has to follow
+// where the layout differs.
+func (b *Broker) Restate(t Terms, was []int) error {
+	if err := t.Check(); err != nil {
+		return err
+	}
+	var kinds []*kind
+	tight := math.Inf(1)
+	for i, k := range t.Types {
 		n := &kind{aim: k.Target, window: k.Window, value: k.Value, late: k.LateValue, grace: k.Timeout - k.Target,
 			need: k.Need, least: k.Least, partial: k.Partial, fetch: k.Fetch, effect: k.Effect, work: unseen * k.Target}
 		if i < len(was) && was[i] >= 0 && was[i] < len(b.kinds) {
--- a/cmd/brackenfront/program_test.go
+++ b/cmd/brackenfront/program_test.go
@@ -754,7 +754,7 @@
 	p := serving(t)
 	var old string
 	p.rewrite(func(config string) string { old = config; return config })
-	seq := 42
+	seq, switches := 42, 0
 	file := func(there bool) string {
 		config := old
 		if there {
@@ -768,26 +768,20 @@
 		seq++
 		return strings.NewReplacer(`"seq":41`, fmt.Sprintf(`"seq":%d`, seq), "BORN", "0").Replace(config)
 	}
-	lines := func(word string) (n int) {
-		p.Lock()
-		defer p.Unlock()
-		for _, l := range p.lines {
-			if strings.Contains(l, word) {
-				n++
-			}
-		}
-		return n
-	}
 	to := func(there bool) {
 		t.Helper()
-		was := lines("switched=true")
 		p.rewrite(func(string) string { return file(there) })
 		p.cmd.Process.Signal(syscall.SIGHUP)
-		for end := time.Now().Add(patience); lines("switched=true") == was; time.Sleep(time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatal("waited in vain for the switch")
+		switches++
+		p.until(t, "the switch", func() bool {
+			n := 0
+			for _, l := range p.lines {
+				if strings.Contains(l, "switched=true") {
+					n++
+				}
 			}
-		}
+			return n == switches
+		})
 		if q := p.watched(); q != fmt.Sprintf("follow=1&since=%d", seq) {
 			t.Fatalf("watches from %s, the list in force is %d", q, seq)
 		}
@@ -826,7 +820,7 @@
 	}
 	p.Lock()
 	for i, n := range p.nodes { // a node holds the shards of its cell and of the one before
-		for _, g := range n.got[:] {
+		for _, g := range n.got {
 			if g.shard > 3 && g.shard%4 != i && (g.shard+1)%4 != i {
 				t.Errorf("node %d got shard %d", i, g.shard)
 			}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -287,12 +287,11 @@
 				}
 				limit(again)
 				apply(log, newer)
-				restart, fixed := boot.Differs(again)
+				fixed := boot.Differs(again) // with any of these, none of the settings holds
 				if leaves != nil && !boot.Links(again.Deployment) {
 					fixed = append(fixed, "settings.policyLimits (with flight.leaves)")
 				}
-				fixed = append(restart, fixed...) // with any of these the file is another broker's
-				restart = append(slices.Clone(fixed), chosen.Differs(newer)...)
+				restart := append(slices.Clone(fixed), chosen.Differs(newer)...)
 				switched, moved := false, !boot.Layout(again.Deployment)
 				if len(fixed) == 0 && !boot.Same(again.Deployment) {
 					if err := router.Restate(again.Deployment, again.Known); err != nil {
--- a/internal/protocol/boot.go
+++ b/internal/protocol/boot.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"reflect"
 	"strconv"
-
-	"brackenfront/balance"
 )
 
 // Boot is what a broker is told at its start.
@@ -73,7 +71,7 @@
 		err = b.limits()
 	}
 	if err == nil { // what the module refuses is said when the file is read, not once it is put in force
-		_, err = balance.New(nil, b.Terms)
+		err = b.Terms.Check()
 	}
 	if err != nil {
 		return nil, wrong("settings", err)
@@ -82,9 +80,8 @@
 }
 
 // Differs names the fields of a newer configuration that only a restart puts in force. The seed is new in each file
-// and the list is discovery's to tell, so neither counts; fixed are those of the settings, which are put in force
-// whole or not at all.
-func (b *Boot) Differs(newer *Boot) (fields, fixed []string) {
+// and the list is discovery's to tell, so neither counts.
+func (b *Boot) Differs(newer *Boot) (fields []string) {
 	for _, f := range []struct {
 		name string
 		same bool
@@ -96,7 +93,7 @@
 			fields = append(fields, f.name)
 		}
 	}
-	return fields, b.Deployment.Fixed(newer.Deployment)
+	return append(fields, b.Fixed(newer.Deployment)...)
 }
 
 // Fixed names the settings of a newer deployment that only a restart puts in force.
--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -75,7 +75,8 @@
 // fresh guards against a request that crosses the other side's close: an unused connection is let
 // go while a frame still has all the time to get there that a connection gets to come up.
 func (c *conn) fresh() bool {
-	return !c.unused() || time.Since(c.usedAt) < c.peer.fleet.limits().Idle-c.peer.fleet.limits().Connect
+	l := c.peer.fleet.limits()
+	return !c.unused() || time.Since(c.usedAt) < l.Idle-l.Connect
 }
 
 // room says whether a call more may go on the connection. Guards against second copies: at a node that works on
@@ -83,8 +84,9 @@
 // connection that carries all it may is not read, give-ups on it neither. The node would still hold what another
 // gets next, or take up later what lies unread. So one place stays free, and given-up parts count.
 func (c *conn) room() bool {
-	most := c.peer.fleet.limits().Streams
-	if c.peer.fleet.limits().Cancel {
+	l := c.peer.fleet.limits()
+	most := l.Streams
+	if l.Cancel {
 		most = max(most-1, 1)
 	}
 	if c.calls < most && c.calls+len(c.ghosts) >= most {
@@ -211,7 +213,8 @@
 
 func (c *conn) dial() (code string, err error) {
 	f := c.peer.fleet
-	sock, err := f.limits().Dial.Patient(f.ctx, c.peer.addr, f.room, f.limits().Pause, f.limits().Connect)
+	l := f.limits()
+	sock, err := l.Dial.Patient(f.ctx, c.peer.addr, f.room, l.Pause, l.Connect)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil {
--- a/internal/transport/nodes/fleet.go
+++ b/internal/transport/nodes/fleet.go
@@ -120,10 +120,10 @@
 	over = true
 	if c.parts[p.ID] == p {
 		delete(c.parts, p.ID)
-		if f.limits().Cancel {
+		if l := f.limits(); l.Cancel {
 			p.left, over = how, false
 			c.ghosts[p.ID] = p.Until
-			if c.put(op{giveUp: p}); c.calls >= f.limits().Streams && p.call.out == 1 {
+			if c.put(op{giveUp: p}); c.calls >= l.Streams && p.call.out == 1 {
 				c.close("given") // full as it is, it would not be read
 			}
 		} else if p.hand { // its node may yet get it: not over before that is known
