Leases: the council's state, a process's side, and Raft's core around them, in random worlds

Package lease is pure: sessions, grants, lines, tokens (State), a process's calls and rights (Session). internal/fleet/council puts it on Raft's core (etcd's library) without clock or I/O, so that random worlds run what ships. Off: nothing of it is linked yet.

--- /dev/null
+++ b/internal/fleet/council/worlds_test.go
@@ -0,0 +1,568 @@
+package council
+
+import (
+	"bytes"
+	"container/heap"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"testing/cryptotest"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"brackenfront/chance"
+	"brackenfront/lease"
+)
+
+var (
+	worlds    = flag.Int("worlds", 12, "random worlds to play")
+	firstSeed = flag.Uint64("seed", 1, "seed of the first one")
+	spoilt    = flag.String("spoilt", "", "drift: clocks beyond the stated bound; the judge has to find it")
+)
+
+// disk is what is kept, with the index of the first entry.
+type disk struct {
+	Kept
+	First uint64
+}
+
+// platter is a Keeper in memory that outlives its process. A crash may come at any Put, before or after it took effect.
+type platter struct {
+	kept  disk
+	crash func() (before, after bool)
+}
+
+var errCrash = errors.New("the process ended here")
+
+func (p *platter) Load() (Kept, error) { return p.kept.Kept, nil }
+func (p *platter) Close() error        { return nil }
+func (p *platter) Put(b Batch) error {
+	before, after := p.crash()
+	if before {
+		return errCrash
+	}
+	p.kept.put(b)
+	if after {
+		return errCrash
+	}
+	return nil
+}
+
+// put does to what is kept what a batch says.
+func (k *disk) put(b Batch) {
+	k.Marks++
+	if b.Founding != nil {
+		k.Founding = b.Founding
+	}
+	if b.Hard != nil {
+		k.Hard = b.Hard
+	}
+	if b.Snapshot != nil {
+		k.Snapshot = b.Snapshot
+	}
+	if b.Reset {
+		k.Entries = nil
+	}
+	if b.Reset {
+		k.First = 0
+	}
+	if b.Upto >= k.First && len(k.Entries) > 0 {
+		k.Entries, k.First = k.Entries[min(uint64(len(k.Entries)), b.Upto+1-k.First):], b.Upto+1
+	}
+	if len(b.Entries) == 0 {
+		return
+	}
+	if len(k.Entries) == 0 {
+		k.First = b.First
+	}
+	k.Entries = append(k.Entries[:b.First-k.First:b.First-k.First], b.Entries...)
+}
+
+// event is something that happens to a process at a moment of true time.
+type event struct {
+	at  float64
+	seq int
+	who int // process
+	run int // its start: what was meant for an earlier one is dropped
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any     { o := *q; e := o[len(o)-1]; *q = o[:len(o)-1]; return e }
+
+// body is a process: its clock, and whether it runs.
+type body struct {
+	rate, zero float64 // its clock reads zero + rate * true time
+	still      float64 // it stands still until then
+	run        int
+	down       bool
+}
+
+// world is members and clients with faults between them, in virtual time.
+type world struct {
+	t       *testing.T
+	seed    uint64
+	rnd     chance.Source
+	now     float64
+	q       queue
+	seq     int
+	terms   lease.Terms
+	bodies  []*body // members first, then clients
+	members []*Member
+	disks   []*platter
+	clients []*lease.Session
+	toward  []int // the member each client asks
+	wake    []int // the timer of each process that counts: a new one replaces it
+	cut     map[[2]int]bool
+	loss    float64
+	level   uint64  // entries between snapshots
+	habit   float64 // seconds between what a client asks
+	faults  float64 // until then
+	drawn   byte
+	ids     uint64
+	names   []string
+	places  []int
+	told    map[string]uint64 // token by which the last act was accepted
+	grants  int
+	steps   int
+	crashes int
+	handles map[uint64]func(Reply)
+	handle  uint64
+	tokens  map[string]map[uint64]int // who was granted each token
+	bad     string
+}
+
+func (w *world) chance(p float64) bool { return w.rnd.Next() < p }
+func (w *world) clock(who int) float64 {
+	b := w.bodies[who]
+	return b.zero + b.rate*w.now
+}
+
+func (w *world) after(d float64, who int, do func()) {
+	w.seq++
+	heap.Push(&w.q, event{w.now + d, w.seq, who, w.bodies[who].run, do})
+}
+
+const (
+	tick  = 0.05
+	lives = 6.0 // seconds after the last fault within which leases move again, at a TTL of 1
+)
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{t: t, seed: seed, cut: map[[2]int]bool{}, handles: map[uint64]func(Reply){}, tokens: map[string]map[uint64]int{}, told: map[string]uint64{}}
+	w.rnd.Seed(seed)
+	w.terms = lease.Usual()
+	w.terms.TTL, w.terms.Drift = 1, []float64{0.01, 0.05, 0.1}[int(w.rnd.Next()*3)]
+	n := []int{3, 3, 5, 7}[int(w.rnd.Next()*4)]
+	k := 4 + int(w.rnd.Next()*20)
+	if w.chance(0.05) {
+		k = 50
+	}
+	drift := w.terms.Drift
+	if *spoilt == "drift" {
+		drift = min(0.5, drift*6+0.2)
+	}
+	var seats []Seat
+	for i := range n + k {
+		b := &body{rate: 1 + drift*(2*w.rnd.Next()-1), zero: 1000 * w.rnd.Next()}
+		if w.chance(0.5) { // at the bound
+			b.rate = 1 + drift
+			if w.chance(0.5) {
+				b.rate = 1 - drift
+			}
+		}
+		w.bodies = append(w.bodies, b)
+		if i < n {
+			seats = append(seats, Seat{Disk: uint64(100 + i), Broker: fmt.Sprint("b", i), Addr: "-"})
+		}
+	}
+	w.names, w.places = []string{"one", "two", "three", "four", "many"}, []int{1, 1, 1, 1, 2}
+	w.loss = 0.05 * w.rnd.Next()
+	w.level = []uint64{8, 64, compactAfter}[int(w.rnd.Next()*3)]
+	w.faults, w.habit = 10, 0.2+w.rnd.Next()
+	w.members, w.disks = make([]*Member, n), make([]*platter, n)
+	w.wake = make([]int, n+k)
+	for i := range n {
+		w.disks[i] = &platter{kept: disk{Kept: Kept{Disk: seats[i].Disk}}, crash: func() (bool, bool) { return false, false }}
+		s, err := Open(w.disks[i])
+		if err == nil {
+			err = s.Found(Founding(seats, w.terms, 1))
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.disks[i].crash = func() (bool, bool) {
+			if w.now > w.faults || !w.chance(0.002) {
+				return false, false
+			}
+			return w.chance(0.5), true
+		}
+		w.start(i)
+	}
+	for i := range k {
+		w.clients = append(w.clients, lease.NewSession(fmt.Sprint("c", i), w.draw))
+		w.toward = append(w.toward, int(w.rnd.Next()*float64(n)))
+		w.after(w.rnd.Next(), n+i, func() { w.want(i) })
+		w.after(w.rnd.Next()*0.1, n+i, func() { w.client(i, false) })
+	}
+	for range 3 + int(w.rnd.Next()*12) {
+		w.trouble()
+	}
+	return w
+}
+
+func (w *world) draw() lease.ID {
+	w.ids++
+	var id lease.ID
+	copy(id[:], fmt.Sprintf("%016d", w.ids))
+	return id
+}
+
+// trouble is one fault at some moment; it ends by w.faults.
+func (w *world) trouble() {
+	at, n := w.rnd.Next()*(w.faults-2), len(w.members)
+	ends := min(w.faults, at+0.1+w.rnd.Next()*4)
+	kind, a, b := w.rnd.Next(), int(w.rnd.Next()*float64(len(w.bodies))), int(w.rnd.Next()*float64(len(w.bodies)))
+	if w.chance(0.5) {
+		a, b = a%n, b%n
+	}
+	in := func(d float64, do func()) {
+		w.seq++
+		heap.Push(&w.q, event{d, w.seq, -1, 0, do})
+	}
+	switch {
+	case kind < 0.25: // stands still
+		in(at, func() { w.bodies[a].still = ends })
+	case kind < 0.35: // all do
+		in(at, func() {
+			for _, x := range w.bodies {
+				x.still = min(ends, at+0.3+2*w.terms.TTL*w.rnd.Next())
+			}
+		})
+	case kind < 0.55 && a < n: // a member ends, and comes back with its disk
+		in(at, func() { w.stop(a, ends-at) })
+	case kind < 0.7: // one pair, one direction or both
+		both := w.chance(0.5)
+		in(at, func() { w.cut[[2]int{a, b}] = true; w.cut[[2]int{b, a}] = both || w.cut[[2]int{b, a}] })
+		in(ends, func() { delete(w.cut, [2]int{a, b}); delete(w.cut, [2]int{b, a}) })
+	case kind < 0.9: // two halves
+		var left []int
+		for i := range w.bodies {
+			if w.chance(0.5) {
+				left = append(left, i)
+			}
+		}
+		both := w.chance(0.7)
+		each := func(do func(p [2]int)) {
+			for i := range w.bodies {
+				for _, j := range left {
+					if !slices.Contains(left, i) {
+						do([2]int{i, j})
+						if both {
+							do([2]int{j, i})
+						}
+					}
+				}
+			}
+		}
+		in(at, func() { each(func(p [2]int) { w.cut[p] = true }) })
+		in(ends, func() { each(func(p [2]int) { delete(w.cut, p) }) })
+	default: // much is lost
+		in(at, func() { w.loss = 0.4 })
+		in(ends, func() { w.loss = 0.02 })
+	}
+}
+
+func (w *world) start(i int) {
+	s, err := Open(w.disks[i])
+	if err == nil {
+		w.members[i], err = NewMember(s, io.Discard)
+	}
+	if err != nil {
+		w.t.Fatalf("seed %d: member %d does not start: %v", w.seed, i, err)
+	}
+	w.members[i].compactAfter, w.members[i].keepBehind = w.level, w.level/4
+	w.bodies[i].down = false
+	var beat func()
+	beat = func() {
+		w.members[i].Tick()
+		w.turn(i)
+		w.after(tick/w.bodies[i].rate, i, beat)
+	}
+	w.after(w.rnd.Next()*tick, i, beat)
+}
+
+// stop ends a member's process at once; it starts again later with its disk.
+func (w *world) stop(i int, d float64) {
+	if w.bodies[i].down {
+		return
+	}
+	w.crashes++
+	w.bodies[i].down = true
+	w.bodies[i].run++
+	w.seq++
+	heap.Push(&w.q, event{w.now + d, w.seq, -1, 0, func() { w.start(i) }})
+}
+
+func (w *world) turn(i int) {
+	m := w.members[i]
+	out, err := m.Turn(w.clock(i))
+	if err != nil { // nothing of the turn leaves
+		w.stop(i, 0.2+w.rnd.Next())
+		return
+	}
+	msgs, replies := slices.Clone(out.Messages), slices.Clone(out.Replies)
+	news := slices.Clone(out.News)
+	m.Clear()
+	for k, msg := range msgs {
+		if w.now < w.faults && w.chance(0.0005) { // between two messages
+			w.stop(i, 0.2+w.rnd.Next())
+			msgs = msgs[:k]
+			return
+		}
+		raw, to := marshal(msg), int(msg.GetTo())-100
+		w.send(i, to, func() {
+			in := &pb.Message{}
+			proto.Unmarshal(raw, in)
+			w.members[to].Step(in)
+			w.turn(to)
+		})
+		if msg.GetType() == pb.MessageType_MsgSnap {
+			m.Sent(msg.GetTo(), true)
+		}
+	}
+	for _, r := range replies {
+		if do := w.handles[r.Handle]; do != nil {
+			delete(w.handles, r.Handle)
+			do(r)
+		}
+	}
+	n := len(w.members)
+	for _, g := range news {
+		for c, s := range w.clients {
+			if s.ID() == g.Session {
+				w.send(i, n+c, func() { s.News(w.clock(n+c), g); w.client(c, false) })
+			}
+		}
+	}
+	if d := m.Due(w.clock(i)); d < tick {
+		w.alarm(i, d+1e-6, func() { w.turn(i) })
+	}
+}
+
+// send carries something from one process to another: late, twice, out of order, or not at all.
+func (w *world) send(from, to int, do func()) {
+	for range 2 {
+		if !w.cut[[2]int{from, to}] && !w.chance(w.loss) {
+			d := 0.002 + 0.01*w.rnd.Next()
+			if w.chance(0.03) {
+				d += w.rnd.Next() * 1.5
+			}
+			w.after(d, to, func() {
+				if !w.cut[[2]int{from, to}] {
+					do()
+				}
+			})
+		}
+		if !w.chance(0.05) {
+			return
+		}
+	}
+}
+
+// want is a client's habit: it asks for leases, keeps them a while, gives them back.
+func (w *world) want(i int) {
+	s, n := w.clients[i], len(w.members)
+	k := int(w.rnd.Next() * float64(len(w.names)))
+	s.Acquire(w.names[k], w.places[k], 3*w.rnd.Next())
+	for _, name := range w.names {
+		if _, _, ok := s.Holds(w.clock(n+i), name); ok && w.chance(0.6) || w.chance(0.05) {
+			s.Release(name)
+		}
+	}
+	w.after(0.02+w.rnd.Next()*w.habit, n+i, func() { w.want(i) })
+	w.client(i, false)
+}
+
+// client sends what is due, and does under its leases what it may.
+func (w *world) client(i int, fresh bool) {
+	s, n := w.clients[i], len(w.members)
+	now := w.clock(n + i)
+	if c, ok := s.Send(now, fresh); ok {
+		if !fresh && w.chance(0.3) { // no answer: another member
+			w.toward[i] = (w.toward[i] + 1) % n
+		}
+		to := w.toward[i]
+		w.send(n+i, to, func() {
+			w.handle++
+			h := w.handle
+			w.handles[h] = func(r Reply) {
+				w.send(to, n+i, func() {
+					if r.Err != nil {
+						if lead, _ := w.members[to].Lead(); lead >= 100 && int(lead)-100 != to {
+							w.toward[i] = int(lead) - 100
+							w.client(i, true) // a redirection is followed at once
+						}
+						return
+					}
+					s.Answer(w.clock(n+i), *r.Answer)
+					w.client(i, false)
+				})
+			}
+			w.members[to].Ask(Request{Handle: h, Call: &c})
+			w.turn(to)
+		})
+	}
+	for _, e := range s.Events() {
+		if e.Status == lease.Granted {
+			w.grants++
+			if w.tokens[e.Name] == nil {
+				w.tokens[e.Name] = map[uint64]int{}
+			}
+			if who, ok := w.tokens[e.Name][e.Token]; ok && who != i {
+				w.bad = fmt.Sprintf("token %d of %s was given to c%d and c%d", e.Token, e.Name, who, i)
+			}
+			w.tokens[e.Name][e.Token] = i
+		}
+	}
+	w.judge(i)
+	d := s.Due() - now
+	if d < 0 {
+		d = 0
+	}
+	if d < 5 {
+		w.alarm(n+i, d+1e-3, func() { w.client(i, false) })
+	}
+}
+
+// alarm is a process's one timer.
+func (w *world) alarm(who int, d float64, do func()) {
+	w.wake[who]++
+	mine := w.wake[who]
+	w.after(d/w.bodies[who].rate, who, func() {
+		if w.wake[who] == mine {
+			do()
+		}
+	})
+}
+
+// judge looks from outside: whoever may act at this moment, by its own clock, is one of no more than the places, each
+// with a place and a token of its own.
+func (w *world) judge(i int) {
+	n := len(w.members)
+	for k, name := range w.names {
+		token, place, ok := w.clients[i].Holds(w.clock(n+i), name)
+		if !ok {
+			continue
+		}
+		if w.places[k] == 1 {
+			if token < w.told[name] {
+				w.bad = fmt.Sprintf("%s: c%d may act with token %d after %d", name, i, token, w.told[name])
+			}
+			w.told[name] = token
+		}
+		for j, o := range w.clients {
+			if other, there, also := o.Holds(w.clock(n+j), name); j != i && also && (there == place || other == token) {
+				w.bad = fmt.Sprintf("%s: c%d (token %d, place %d) and c%d (token %d, place %d) may act at once", name, i, token, place, j, other, there)
+			}
+		}
+	}
+}
+
+// play runs the world, its faults and a quiet end in which service has to be back.
+func (w *world) play() {
+	quiet, asked, granted := w.faults+lives, false, false
+	for len(w.q) > 0 && w.bad == "" {
+		e := heap.Pop(&w.q).(event)
+		if e.at > quiet {
+			break
+		}
+		w.now = e.at
+		if w.now > quiet-2*w.terms.TTL && !asked {
+			asked = true
+			w.clients[0].Acquire("quiet", 1, 0)
+			w.client(0, false)
+		}
+		_, _, held := w.clients[0].Holds(w.clock(len(w.members)), "quiet")
+		granted = granted || held
+		if e.who >= 0 {
+			b := w.bodies[e.who]
+			if b.run != e.run || b.down {
+				continue
+			}
+			if b.still > w.now { // it goes on as if nothing had been
+				e.at = b.still + 1e-9*float64(e.seq)
+				heap.Push(&w.q, e)
+				continue
+			}
+		}
+		w.steps++
+		e.do()
+	}
+	if w.bad == "" && !granted {
+		w.bad = fmt.Sprintf("a free lease was not granted within %v s, %v s after all faults had ended", 2*w.terms.TTL, lives-2*w.terms.TTL)
+	}
+	if w.bad == "" { // members that have carried out the same have the same bytes
+		byIndex := map[uint64][]byte{}
+		for _, m := range w.members {
+			_, _, applied := m.Progress()
+			image := m.State().Image()
+			if o, ok := byIndex[applied]; ok && !bytes.Equal(o, image) {
+				w.bad = fmt.Sprintf("two members differ at entry %d", applied)
+			}
+			byIndex[applied] = image
+		}
+	}
+}
+
+// TestWorlds plays random worlds: no two sessions may act at once under one place, whatever happens; and once faults
+// end, leases move again. One that fails is played again by its seed: -seed N -worlds 1.
+func TestWorlds(t *testing.T) {
+	found, steps, grants, crashes := 0, 0, 0, 0
+	for seed := *firstSeed; seed < *firstSeed+uint64(*worlds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			cryptotest.SetGlobalRandom(t, seed) // Raft draws its election times there
+			w := newWorld(t, seed)
+			w.play()
+			steps, grants, crashes = steps+w.steps, grants+w.grants, crashes+w.crashes
+			if w.bad != "" {
+				found++
+				if *spoilt == "" {
+					t.Errorf("seed %d, at %.3f s of %d members and %d clients, drift %v: %s", seed, w.now, len(w.members), len(w.clients), w.terms.Drift, w.bad)
+				}
+			}
+		})
+	}
+	t.Logf("%d worlds, %d steps, %d grants, %d crashes, %d found bad", *worlds, steps, grants, crashes, found)
+	if *spoilt != "" && found == 0 {
+		t.Errorf("spoilt by %s, and the judge found nothing in %d worlds", *spoilt, *worlds)
+	}
+}
+
+// TestSameSeed: a world is the same, step for step, each time it is played.
+func TestSameSeed(t *testing.T) {
+	var images [2][]byte
+	var steps [2]int
+	for i := range 2 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			cryptotest.SetGlobalRandom(t, 7)
+			w := newWorld(t, 7)
+			w.play()
+			images[i], steps[i] = w.members[0].State().Image(), w.steps
+		})
+	}
+	if steps[0] != steps[1] || !bytes.Equal(images[0], images[1]) {
+		t.Errorf("two runs of one seed: %d and %d steps", steps[0], steps[1])
+	}
+}
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,164 @@
+// Package lease is what the brokers of a fleet agree on about tasks that one of them, or at most k, may do at a
+// time: the council's state (State), a process's side of it (Session), and when a holder may still act (Right).
+//
+// What holds, and is judged from outside by tests that start processes and put faults between them:
+//
+//  1. One holder. Acts accepted under one lease by two holders (one of k places: by two holders of that place)
+//     never overlap, and the tokens of accepted acts never fall. A process that stood still between looking at its
+//     lease and acting is part of this: every act carries its token, and targets refuse one lower than the highest
+//     they have seen. A target that cannot check is given only acts whose doubling is stated harmless.
+//  2. Lives. While a majority of the council is up and connected, a free lease is granted within a stated time.
+//
+// What it rests on, and nothing else: the council's log is agreed (Raft, a library); a process's own elapsed time
+// runs at a rate within Drift of true time; ids of sessions are never drawn twice. No wall clock, no sleep, no speed
+// of a machine. Why it holds: a holder's right ends TTL*(1-Drift) of its own seconds after it sent the renewal, at
+// most TTL true seconds; the council ends the session TTL*(1+Drift) of its own seconds after it read its clock with
+// the renewal at hand, at least TTL true seconds, and that reading came after the sending. A new leader begins its
+// reading of the council's time where the log it has applied ends, so time between leaders only makes leases longer.
+//
+// Nothing here does I/O, reads a clock or has a goroutine; the state is the same byte for byte on every member.
+// Times are seconds, of the council (State) or of the process (Session).
+package lease
+
+import (
+	"errors"
+	"fmt"
+	"math"
+)
+
+// ID names a session: one process from its start, or from the loss of its last session, on. Drawn by chance of 128 bits.
+type ID [16]byte
+
+// Terms are what a council is founded with. They hold for all its members and clients.
+type Terms struct {
+	TTL   float64 `cbor:"1,keyasint"` // seconds that a renewal keeps a session, at least, in true time
+	Drift float64 `cbor:"2,keyasint"` // how far a clock's rate may be from 1
+
+	Sessions int     `cbor:"3,keyasint"` // open at once
+	Names    int     `cbor:"4,keyasint"` // leases held or waited for at once
+	Line     int     `cbor:"5,keyasint"` // sessions that wait for one lease
+	Longest  float64 `cbor:"6,keyasint"` // seconds in that line
+}
+
+// The bounds that Terms and calls are held to.
+const (
+	mostDrift = 0.2
+	mostName  = 128  // bytes of a lease's or an owner's name
+	mostPlace = 1024 // places of a counted lease
+	MostOps   = 1024 // in one call
+)
+
+// Usual are the terms of a council whose operator states nothing else.
+func Usual() Terms {
+	return Terms{TTL: 10, Drift: 0.01, Sessions: 4096, Names: 65536, Line: 4096, Longest: 3600}
+}
+
+// Check says what is wrong with the terms.
+func (t Terms) Check() error {
+	var wrong []error
+	if !(t.TTL > 0 && t.TTL <= 3600) {
+		wrong = append(wrong, fmt.Errorf("ttl: got %v s, expected more than 0 and at most 3600", t.TTL))
+	}
+	if !(t.Drift >= 0 && t.Drift <= mostDrift) {
+		wrong = append(wrong, fmt.Errorf("drift: got %v, expected 0 to %v", t.Drift, mostDrift))
+	}
+	if t.Sessions < 1 || t.Names < 1 || t.Line < 1 || !(t.Longest > 0) || math.IsInf(t.Longest, 0) {
+		wrong = append(wrong, errors.New("sessions, names, line and longest: expected to be above 0"))
+	}
+	return errors.Join(wrong...)
+}
+
+// Kept is how long the council keeps a session beyond its renewal, in the council's seconds.
+func (t Terms) Kept() float64 { return t.TTL * (1 + t.Drift) }
+
+// Right is how long a holder may act beyond the sending of its renewal, in its own seconds.
+func (t Terms) Right() float64 { return t.TTL * (1 - t.Drift) }
+
+// Kind is what an operation asks for.
+type Kind uint8
+
+const (
+	Acquire Kind = iota + 1 // a place of a lease, at once or in line
+	Release                 // the place held, or the one in line
+)
+
+// Op is one operation of a call.
+type Op struct {
+	Kind   Kind    `cbor:"1,keyasint"`
+	Name   string  `cbor:"2,keyasint"`
+	Places int     `cbor:"3,keyasint,omitempty"` // of the lease: 1 unless it is a counted one
+	Wait   float64 `cbor:"4,keyasint,omitempty"` // seconds that it may stand in line; 0 for not at all
+}
+
+func (o Op) check() bool {
+	if len(o.Name) == 0 || len(o.Name) > mostName {
+		return false
+	}
+	switch o.Kind {
+	case Acquire:
+		return o.Places >= 1 && o.Places <= mostPlace && o.Wait >= 0
+	case Release:
+		return true
+	}
+	return false
+}
+
+// Call is one call of a session; every call renews it. A session has one call out at a time, so that one sent again,
+// or arriving twice, takes effect once by its number.
+type Call struct {
+	Session ID     `cbor:"1,keyasint"`
+	Number  uint64 `cbor:"2,keyasint"` // 1 opens the session
+	Owner   string `cbor:"3,keyasint,omitempty"`
+	Seen    uint64 `cbor:"4,keyasint,omitempty"` // grants with tokens up to this have been told
+	Attempt uint64 `cbor:"5,keyasint,omitempty"` // echoed: tells the sender which sending took effect
+	End     bool   `cbor:"6,keyasint,omitempty"` // the session is over: all it holds is free
+	Ops     []Op   `cbor:"7,keyasint,omitempty"`
+}
+
+// Status is what became of an operation or a call.
+type Status uint8
+
+const (
+	Bad     Status = iota + 1 // could not be understood
+	Granted                   // held now, or already
+	Waiting                   // in line
+	Taken                     // all places are held, and it would not wait
+	Full                      // beyond a bound of the terms
+	Differs                   // the lease has another number of places
+	Freed                     // released, or it was not held
+	Done                      // of a call: its operations were looked at
+	Unknown                   // of a call: there is no such session, or no longer
+	Stale                     // of a call: a later one has taken effect
+)
+
+var statuses = [...]string{"", "bad", "granted", "waiting", "taken", "full", "differs", "freed", "done", "unknown", "stale"}
+
+func (s Status) String() string { return statuses[s] }
+
+// Result is what became of one operation.
+type Result struct {
+	Status Status `cbor:"1,keyasint"`
+	Token  uint64 `cbor:"2,keyasint,omitempty"`
+	Place  int    `cbor:"3,keyasint,omitempty"`
+}
+
+// Answer answers a call.
+type Answer struct {
+	Session ID       `cbor:"1,keyasint"`
+	Number  uint64   `cbor:"2,keyasint"`
+	Attempt uint64   `cbor:"3,keyasint,omitempty"`
+	Status  Status   `cbor:"4,keyasint"`
+	Token   uint64   `cbor:"5,keyasint,omitempty"` // the highest given out so far; later news have higher ones
+	Now     float64  `cbor:"6,keyasint"`           // the council's time
+	Terms   *Terms   `cbor:"7,keyasint,omitempty"` // when the session opens
+	Results []Result `cbor:"8,keyasint,omitempty"`
+	News    []Grant  `cbor:"9,keyasint,omitempty"` // granted out of lines and not yet told
+}
+
+// Grant is one place of one lease given to a session.
+type Grant struct {
+	Name    string `cbor:"1,keyasint"`
+	Session ID     `cbor:"2,keyasint"`
+	Token   uint64 `cbor:"3,keyasint"`
+	Place   int    `cbor:"4,keyasint"`
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,374 @@
+package lease
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func id(n int) (i ID) { copy(i[:], fmt.Sprintf("%016d", n)); return i }
+
+// council answers calls as a founded council would, with its time under the test's hand.
+type council struct {
+	*State
+	numbers map[ID]uint64
+}
+
+func founded(change func(*Terms)) *council {
+	t := Usual()
+	if change != nil {
+		change(&t)
+	}
+	c := &council{New(t, 1), map[ID]uint64{}}
+	c.Apply(Command{At: t.Kept()})
+	return c
+}
+
+func (c *council) call(at float64, who int, ops ...Op) Answer {
+	c.numbers[id(who)]++
+	return c.Apply(Command{At: at, Calls: []Call{{Session: id(who), Number: c.numbers[id(who)], Owner: fmt.Sprint("b", who), Ops: ops}}})[0]
+}
+
+func acquire(name string, wait float64) Op { return Op{Acquire, name, 1, wait} }
+func release(name string) Op               { return Op{Kind: Release, Name: name} }
+
+// TestInLine: free places go to those that have waited longest, with tokens that rise; one that was told so late is
+// told again.
+func TestInLine(t *testing.T) {
+	c := founded(nil)
+	if a := c.call(20, 1, acquire("x", 0)); a.Results[0].Status != Granted {
+		t.Fatal(a)
+	}
+	first := c.token
+	for i := 2; i <= 4; i++ {
+		if a := c.call(20, i, acquire("x", 100)); a.Results[0].Status != Waiting {
+			t.Fatal(a)
+		}
+	}
+	if a := c.call(20, 5, acquire("x", 0)); a.Results[0].Status != Taken {
+		t.Error("one that would not wait:", a)
+	}
+	if a := c.call(20, 6, Op{Acquire, "x", 2, 0}); a.Results[0].Status != Differs {
+		t.Error("another number of places:", a)
+	}
+	c.call(21, 3, release("x")) // leaves the line
+	c.call(21, 1, release("x"))
+	if n := c.Told(); len(n) != 1 || n[0].Session != id(2) || n[0].Token != first+1 {
+		t.Fatal("told", n)
+	}
+	for range 2 { // until it says that it has seen it
+		if a := c.call(22, 2); len(a.News) != 1 || a.News[0].Token != first+1 {
+			t.Fatal("news", a)
+		}
+	}
+	c.numbers[id(2)]++
+	a := c.Apply(Command{At: 22, Calls: []Call{{Session: id(2), Number: c.numbers[id(2)], Seen: first + 1}}})[0]
+	if len(a.News) != 0 {
+		t.Error("told what it has seen:", a)
+	}
+	c.call(27, 4)
+	c.Apply(Command{At: 22 + c.terms.Kept()}) // 2 has not been heard of; 4 gets it
+	if n := c.Told(); len(n) != 1 || n[0].Session != id(4) || n[0].Token != first+2 {
+		t.Fatal("told", n)
+	}
+}
+
+// TestNotBefore: a session ends no sooner than its time by the council, and a founding grants nothing until the
+// holders of a council before it have lost their rights.
+func TestNotBefore(t *testing.T) {
+	u := Usual()
+	c := &council{New(u, 3), map[ID]uint64{}}
+	if a := c.call(0, 1, acquire("x", 60)); a.Results[0].Status != Waiting {
+		t.Fatal("granted at the founding:", a)
+	}
+	c.call(5, 1)
+	if c.Apply(Command{At: u.Kept() - 1e-6}); len(c.Told()) != 0 {
+		t.Fatal("granted too soon")
+	}
+	if c.Apply(Command{At: u.Kept()}); len(c.Told()) != 1 {
+		t.Fatal("not granted")
+	}
+	if c.token != 3<<40+1 {
+		t.Error("token", c.token)
+	}
+	c.call(50, 2, acquire("y", 0))
+	c.Apply(Command{At: 50 + u.Kept() - 1e-6})
+	if a := c.call(0, 3, acquire("y", 0)); a.Results[0].Status != Taken {
+		t.Error("freed too soon:", a)
+	}
+	if a := c.call(50+u.Kept(), 3, acquire("y", 0)); a.Results[0].Status != Granted {
+		t.Error("not freed:", a)
+	}
+	if n := c.Next(); n <= c.now || n > 50+2*u.Kept() { // no later than the first end
+		t.Error("next", n)
+	}
+}
+
+// TestBounds: what clients ask is bounded.
+func TestBounds(t *testing.T) {
+	c := founded(func(t *Terms) { t.Sessions, t.Names, t.Line = 3, 2, 1 })
+	c.call(20, 1, acquire("x", 0), acquire("y", 0), acquire("z", 0))
+	if r := c.byID[id(1)].Results; r[2].Status != Full {
+		t.Error("names:", r)
+	}
+	c.call(20, 2, acquire("x", 1))
+	if a := c.call(20, 3, acquire("x", 1)); a.Results[0].Status != Full {
+		t.Error("line:", a)
+	}
+	if a := c.call(20, 4); a.Status != Full {
+		t.Error("sessions:", a)
+	}
+	for _, o := range []Op{{Kind: Acquire, Name: "", Places: 1}, {Kind: Acquire, Name: "x"}, {Kind: 9, Name: "x"},
+		{Acquire, "x", 1, math.NaN()}, {Acquire, "x", 1, -1}, {Acquire, "x", mostPlace + 1, 0}, {Acquire, string(make([]byte, mostName+1)), 1, 0}} {
+		if a := c.call(20, 1, o); a.Results[0].Status != Bad {
+			t.Errorf("%+v: %v", o, a)
+		}
+	}
+	if a := c.call(20, 1, make([]Op, MostOps+1)...); a.Status != Bad {
+		t.Error("operations:", a.Status)
+	}
+}
+
+// TestState: whatever calls come, in any order and twice, places are not exceeded, tokens rise, lines are right, and
+// an image restores the very same state.
+func TestState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := founded(func(t *Terms) { t.Longest = 30 })
+		at, last := 20.0, c.token
+		var old []Call
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			at += rapid.Float64Range(0, 4).Draw(t, "gap")
+			who := rapid.IntRange(1, 6).Draw(t, "who")
+			var call Call
+			if len(old) > 0 && rapid.IntRange(0, 4).Draw(t, "old") == 0 {
+				call = rapid.SampledFrom(old).Draw(t, "which")
+			} else {
+				c.numbers[id(who)]++
+				call = Call{Session: id(who), Number: c.numbers[id(who)], End: rapid.IntRange(0, 20).Draw(t, "end") == 0}
+				for range rapid.IntRange(0, 4).Draw(t, "ops") {
+					name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+					call.Ops = append(call.Ops, Op{Kind(rapid.IntRange(1, 2).Draw(t, "kind")), name, map[string]int{"a": 1, "b": 1, "c": 3}[name],
+						rapid.Float64Range(0, 20).Draw(t, "wait")})
+				}
+				old = append(old, call)
+			}
+			from := at
+			if rapid.IntRange(0, 5).Draw(t, "stale") == 0 { // a leader that stood still
+				from = at - 10
+			}
+			was := c.now
+			a := c.Apply(Command{At: from, Calls: []Call{call}})[0]
+			if c.now < was {
+				t.Fatal("time went back")
+			}
+			if a.Status == Unknown {
+				c.numbers[call.Session] = 0
+			}
+			if c.token < last {
+				t.Fatal("a token fell")
+			}
+			last = c.token
+			seen := map[uint64]bool{}
+			for name, l := range c.lines {
+				if len(l.Held) > l.Places || len(l.Wait) > 0 && len(l.Held) < l.Places || len(l.Held)+len(l.Wait) == 0 {
+					t.Fatalf("%s: %d places, held %v, line %v", name, l.Places, l.Held, l.Wait)
+				}
+				place := map[int]bool{}
+				for _, g := range l.Held {
+					p := c.byID[g.Session]
+					if p == nil || seen[g.Token] || place[g.Place] || g.Token > c.token || c.now >= p.Until {
+						t.Fatalf("%s: grant %+v", name, g)
+					}
+					seen[g.Token], place[g.Place] = true, true
+				}
+			}
+			for _, p := range c.sessions {
+				for _, n := range p.Names {
+					l := c.lines[n]
+					if l == nil {
+						t.Fatalf("session %s names %s, which nobody holds", p.Owner, n)
+					}
+				}
+				if c.now >= p.Until || c.next > p.Until {
+					t.Fatalf("session until %v at %v, next %v", p.Until, c.now, c.next)
+				}
+			}
+			image := c.Image()
+			back, err := Restore(image)
+			if err != nil || !bytes.Equal(back.Image(), image) {
+				t.Fatal("restored differently", err)
+			}
+			c.State = back
+		}
+	})
+}
+
+// pair is a Session and the council it speaks to, at will.
+func pair(t *testing.T) (*Session, *council) {
+	n := 100
+	return NewSession("b", func() ID { n++; return id(n) }), founded(nil)
+}
+
+func (c *council) takes(at float64, call Call) Answer { return c.Apply(Command{At: at, Calls: []Call{call}})[0] }
+
+// TestRightFromSending: a right counts from the sending whose answer comes, not from the answer and not from a later
+// sending that may never have arrived.
+func TestRightFromSending(t *testing.T) {
+	s, c := pair(t)
+	s.Acquire("x", 1, 0)
+	first, ok := s.Send(100, false)
+	if _, again := s.Send(100.5, false); !ok || again {
+		t.Fatal("sent", ok, again)
+	}
+	s.Send(101.5, false) // lost
+	s.Answer(103, c.takes(20, first))
+	if u := s.Until(); u != 100+c.terms.Right() {
+		t.Errorf("until %v, sent at 100", u)
+	}
+	if _, _, ok := s.Holds(100+c.terms.Right(), "x"); ok {
+		t.Error("holds at its right's end")
+	}
+	if _, _, ok := s.Holds(109, "x"); !ok {
+		t.Error("does not hold")
+	}
+	again, ok := s.Send(s.renew, false)
+	if !ok || len(again.Ops) != 0 || s.renew >= s.Until() {
+		t.Fatal("no renewal")
+	}
+	if _, ok = s.Send(s.again, false); !ok {
+		t.Fatal("not sent again")
+	}
+	s.Answer(109, c.takes(25, again)) // the earlier sending's
+	if u := s.Until(); u != 100+c.terms.Right()/thirds+c.terms.Right() {
+		t.Errorf("until %v", u)
+	}
+}
+
+// TestLapse: a process that stood still beyond its right holds nothing, says so once, and gives it back.
+func TestLapse(t *testing.T) {
+	s, c := pair(t)
+	s.Acquire("x", 1, 0)
+	call, _ := s.Send(0, false)
+	s.Answer(0.1, c.takes(20, call))
+	if e := s.Events(); len(e) != 1 || e[0].Status != Granted {
+		t.Fatal(e)
+	}
+	call, ok := s.Send(9.95, false)
+	if e := s.Events(); len(e) != 1 || e[0].Status != Unknown || !ok || len(call.Ops) != 1 || call.Ops[0].Kind != Release {
+		t.Fatal(e, call)
+	}
+	if !s.Acquire("x", 1, 0) || s.Acquire("x", 1, 0) {
+		t.Error("asked anew")
+	}
+	s.Answer(10, c.takes(29, call))
+	call, _ = s.Send(10, false)
+	s.Answer(10.1, c.takes(29.1, call))
+	if token, _, ok := s.Holds(10.2, "x"); !ok || token != c.token || c.token != 1<<40+2 {
+		t.Error("token", token, ok)
+	}
+}
+
+// TestForgotten: a council that has ended the session: what was held is lost, what was waited for is asked again.
+func TestForgotten(t *testing.T) {
+	s, c := pair(t)
+	c.call(20, 1, acquire("y", 0))
+	s.Acquire("x", 1, 0)
+	s.Acquire("y", 1, 60)
+	call, _ := s.Send(0, false)
+	s.Answer(0.1, c.takes(20, call))
+	s.Events()
+	was := s.ID()
+	c.call(28, 1)
+	c.Apply(Command{At: 31})
+	call, _ = s.Send(9.8, false) // by a clock that runs too slow
+	s.Answer(9.85, c.takes(31, call))
+	if e := s.Events(); len(e) != 1 || e[0].Name != "x" || e[0].Status != Unknown || s.ID() == was {
+		t.Fatal(e)
+	}
+	if _, _, ok := s.Holds(9.85, "x"); ok {
+		t.Error("holds what is lost")
+	}
+	call, ok := s.Send(9.9, false)
+	if !ok || call.Number != 1 || len(call.Ops) != 1 || call.Ops[0].Name != "y" {
+		t.Fatal(call)
+	}
+	if _, slow := s.Pace().Slow(c.terms.Drift); slow {
+		t.Error("pace of a session that is lost")
+	}
+}
+
+// TestLateNews: a grant out of a line that is told late, twice, or after it was given back, does not count.
+func TestLateNews(t *testing.T) {
+	s, c := pair(t)
+	c.call(20, 1, acquire("x", 0))
+	s.Acquire("x", 1, 60)
+	call, _ := s.Send(0, false)
+	s.Answer(0.1, c.takes(20, call))
+	c.call(21, 1, release("x"))
+	news := c.Told()[0]
+	s.Release("x")
+	s.News(1, news)
+	if _, _, ok := s.Holds(1, "x"); ok {
+		t.Error("holds what it is giving back")
+	}
+	call, _ = s.Send(1.1, false)
+	s.Answer(1.2, c.takes(21.1, call))
+	c.call(21.2, 1, acquire("x", 0))
+	s.Acquire("x", 1, 60)
+	call, _ = s.Send(1.3, false)
+	s.Answer(1.4, c.takes(21.3, call))
+	s.News(1.5, news)
+	if _, _, ok := s.Holds(1.5, "x"); ok {
+		t.Error("holds by old news")
+	}
+	c.call(21.4, 1, release("x"))
+	s.News(1.6, c.Told()[0])
+	if _, _, ok := s.Holds(1.6, "x"); !ok {
+		t.Error("news did not count")
+	}
+	s.End()
+	call, ok := s.Send(1.7, false)
+	if !ok || !call.End {
+		t.Fatal(call)
+	}
+	if _, _, ok := s.Holds(1.7, "x"); ok {
+		t.Error("holds at its end")
+	}
+	if s.Answer(1.8, c.takes(22, call)); !s.Ended() || len(c.sessions) != 1 || len(c.lines) != 0 {
+		t.Error("not ended")
+	}
+	if _, ok := s.Send(9, true); ok || !math.IsInf(s.Due(), 1) {
+		t.Error("speaks after its end")
+	}
+}
+
+// TestPace: a clock beyond the stated drift shows, one within does not, nor does a council that stood still.
+func TestPace(t *testing.T) {
+	for _, c := range []struct {
+		rate float64
+		slow bool
+	}{{0.985, false}, {1.05, false}, {0.9, true}, {2, false}} {
+		var p Pace
+		for i := range 200 {
+			x := float64(i)
+			p.Told(x*c.rate, x*c.rate+0.01, x)
+		}
+		if rate, slow := p.Slow(0.01); slow != c.slow {
+			t.Errorf("a clock of rate %v: %v, slow %v", c.rate, rate, slow)
+		}
+	}
+}
+
+func BenchmarkRenewal(b *testing.B) {
+	c := founded(nil)
+	for i := range 300 {
+		c.call(20, i, acquire(fmt.Sprint(i), 0))
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		c.call(20+float64(i)*1e-5, i%300)
+	}
+}
--- /dev/null
+++ b/lease/state.go
@@ -0,0 +1,382 @@
+package lease
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// State is the council's: sessions, and who holds or waits for which lease. It changes by Apply alone, in the order
+// of the agreed log. Time moves by what commands say and never back.
+type State struct {
+	terms    Terms
+	now      float64
+	from     float64 // nothing is granted before: holders of a council before this one may act until then
+	token    uint64  // the last given out
+	sessions []*session
+	byID     map[ID]*session
+	lines    map[string]*line
+	next     float64 // nothing ends by itself before this
+	news     []Grant // granted out of lines since Told
+}
+
+type session struct {
+	ID      ID       `cbor:"1,keyasint"`
+	Owner   string   `cbor:"2,keyasint"`
+	Until   float64  `cbor:"3,keyasint"` // of the council's time
+	Number  uint64   `cbor:"4,keyasint"` // of its last call
+	Results []Result `cbor:"5,keyasint,omitempty"`
+	News    []Grant  `cbor:"6,keyasint,omitempty"`
+	Names   []string `cbor:"7,keyasint,omitempty"` // held or waited for
+}
+
+// line is one lease.
+type line struct {
+	Name   string   `cbor:"1,keyasint"`
+	Places int      `cbor:"2,keyasint"`
+	Held   []Grant  `cbor:"3,keyasint,omitempty"`
+	Wait   []waiter `cbor:"4,keyasint,omitempty"`
+}
+
+type waiter struct {
+	Session ID      `cbor:"1,keyasint"`
+	Until   float64 `cbor:"2,keyasint"`
+}
+
+// Command is one entry of the council's log: the leader's reading of the council's time, and calls.
+type Command struct {
+	At    float64 `cbor:"1,keyasint"`
+	Calls []Call  `cbor:"2,keyasint,omitempty"`
+}
+
+// New is the state of a council founded with these terms. The founding's number stands above all tokens, so that
+// those of a council that was lost whole stay lower, if its operator counts the foundings.
+func New(t Terms, founding uint32) *State {
+	return &State{terms: t, from: t.Kept(), next: t.Kept(), token: uint64(founding) << 40,
+		byID: map[ID]*session{}, lines: map[string]*line{}}
+}
+
+// Terms are what the council was founded with.
+func (s *State) Terms() Terms { return s.terms }
+
+// Now is the council's time in seconds since its founding.
+func (s *State) Now() float64 { return s.now }
+
+// Next is the council's time at which something ends by itself and a command has to say so; infinite for none.
+func (s *State) Next() float64 { return s.next }
+
+// Sizes counts sessions, leases that are held or waited for, and the last token.
+func (s *State) Sizes() (sessions, leases int, token uint64) {
+	return len(s.sessions), len(s.lines), s.token
+}
+
+// Told gives what was granted out of lines since it was last called. The slice is reused.
+func (s *State) Told() []Grant {
+	n := s.news
+	s.news = s.news[:0]
+	return n
+}
+
+// Apply carries out one command. The answers are in the order of its calls.
+func (s *State) Apply(c Command) []Answer {
+	if c.At > s.now { // a leader that stood still reads a time that has passed
+		s.now = c.At
+	}
+	if s.now >= s.next {
+		s.lapse()
+	}
+	answers := make([]Answer, len(c.Calls))
+	for i := range c.Calls {
+		answers[i] = s.call(&c.Calls[i])
+	}
+	return answers
+}
+
+func (s *State) call(c *Call) Answer {
+	a := Answer{Session: c.Session, Number: c.Number, Attempt: c.Attempt, Status: Done, Now: s.now}
+	if len(c.Ops) > MostOps || len(c.Owner) > mostName || c.Number == 0 {
+		a.Status = Bad
+		return a
+	}
+	p := s.byID[c.Session]
+	if p == nil && c.Number == 1 && !c.End {
+		if len(s.sessions) >= s.terms.Sessions {
+			a.Status = Full
+			return a
+		}
+		p = &session{ID: c.Session, Owner: c.Owner}
+		s.sessions, s.byID[p.ID] = append(s.sessions, p), p
+	}
+	switch {
+	case p == nil:
+		a.Status = Unknown
+		return a
+	case c.End:
+		s.end(p)
+		return a
+	case c.Number > p.Number+1: // nothing we have told
+		a.Status = Unknown
+		return a
+	case c.Number < p.Number:
+		a.Status = Stale
+		return a
+	}
+	p.Until = s.now + s.terms.Kept()
+	s.due(p.Until)
+	if c.Number == 1 {
+		a.Terms = &s.terms
+	}
+	p.News = slices.DeleteFunc(p.News, func(g Grant) bool { return g.Token <= c.Seen })
+	if c.Number > p.Number {
+		p.Number, p.Results = c.Number, make([]Result, len(c.Ops))
+		for i, o := range c.Ops {
+			p.Results[i] = s.op(p, o)
+		}
+	}
+	a.Results, a.News, a.Token = p.Results, slices.Clone(p.News), s.token
+	return a
+}
+
+func (s *State) op(p *session, o Op) Result {
+	if !o.check() {
+		return Result{Status: Bad}
+	}
+	l := s.lines[o.Name]
+	if o.Kind == Release {
+		if l != nil {
+			s.leave(p, l)
+			p.Names = slices.DeleteFunc(p.Names, func(n string) bool { return n == o.Name })
+		}
+		return Result{Status: Freed}
+	}
+	if l == nil {
+		if len(s.lines) >= s.terms.Names {
+			return Result{Status: Full}
+		}
+		l = &line{Name: o.Name, Places: o.Places}
+		s.lines[o.Name] = l
+	}
+	for _, g := range l.Held {
+		if g.Session == p.ID {
+			return Result{Granted, g.Token, g.Place}
+		}
+	}
+	if slices.ContainsFunc(l.Wait, func(w waiter) bool { return w.Session == p.ID }) {
+		return Result{Status: Waiting}
+	}
+	if l.Places != o.Places {
+		return Result{Status: Differs}
+	}
+	if s.now >= s.from && len(l.Held) < l.Places && len(l.Wait) == 0 {
+		p.Names = append(p.Names, o.Name)
+		g := s.grant(l, p)
+		return Result{Granted, g.Token, g.Place}
+	}
+	switch {
+	case o.Wait == 0:
+		s.forget(l)
+		return Result{Status: Taken}
+	case len(l.Wait) >= s.terms.Line:
+		return Result{Status: Full}
+	}
+	w := waiter{p.ID, s.now + min(o.Wait, s.terms.Longest)}
+	l.Wait = append(l.Wait, w)
+	p.Names = append(p.Names, o.Name)
+	s.due(w.Until)
+	return Result{Status: Waiting}
+}
+
+// grant gives the lowest free place of a line that has one.
+func (s *State) grant(l *line, p *session) Grant {
+	place := 0
+	for slices.ContainsFunc(l.Held, func(g Grant) bool { return g.Place == place }) {
+		place++
+	}
+	s.token++
+	g := Grant{l.Name, p.ID, s.token, place}
+	l.Held = append(l.Held, g)
+	return g
+}
+
+// leave takes a session out of a line, whether it holds a place or waits, and gives what is free on.
+func (s *State) leave(p *session, l *line) {
+	l.Held = slices.DeleteFunc(l.Held, func(g Grant) bool { return g.Session == p.ID })
+	l.Wait = slices.DeleteFunc(l.Wait, func(w waiter) bool { return w.Session == p.ID })
+	p.News = slices.DeleteFunc(p.News, func(g Grant) bool { return g.Name == l.Name })
+	s.promote(l)
+}
+
+// promote gives free places to those that have waited longest.
+func (s *State) promote(l *line) {
+	for s.now >= s.from && len(l.Wait) > 0 && len(l.Held) < l.Places {
+		p := s.byID[l.Wait[0].Session]
+		l.Wait = slices.Delete(l.Wait, 0, 1)
+		g := s.grant(l, p)
+		p.News, s.news = append(p.News, g), append(s.news, g)
+	}
+	s.forget(l)
+}
+
+// forget drops a line that nobody holds or waits for; tokens rise over all leases together, so nothing is lost.
+func (s *State) forget(l *line) {
+	if len(l.Held) == 0 && len(l.Wait) == 0 {
+		delete(s.lines, l.Name)
+	}
+}
+
+func (s *State) end(p *session) {
+	delete(s.byID, p.ID)
+	s.sessions = slices.DeleteFunc(s.sessions, func(q *session) bool { return q == p })
+	for _, n := range p.Names {
+		if l := s.lines[n]; l != nil {
+			s.leave(p, l)
+		}
+	}
+}
+
+func (s *State) due(t float64) { s.next = min(s.next, t) }
+
+// lapse ends what has come to its end: sessions in the order they were opened, then waits in the order of names.
+func (s *State) lapse() {
+	s.next = math.Inf(1)
+	if s.now < s.from {
+		s.due(s.from)
+	}
+	for i := 0; i < len(s.sessions); {
+		if p := s.sessions[i]; s.now >= p.Until {
+			s.end(p)
+		} else {
+			s.due(p.Until)
+			i++
+		}
+	}
+	for _, n := range s.names() {
+		l := s.lines[n]
+		l.Wait = slices.DeleteFunc(l.Wait, func(w waiter) bool {
+			if s.now < w.Until {
+				s.due(w.Until)
+				return false
+			}
+			p := s.byID[w.Session]
+			p.Names = slices.DeleteFunc(p.Names, func(m string) bool { return m == n })
+			return true
+		})
+		s.promote(l)
+	}
+}
+
+func (s *State) names() []string {
+	all := make([]string, 0, len(s.lines))
+	for n := range s.lines {
+		all = append(all, n)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Lease is one lease as it stands, for people.
+type Lease struct {
+	Name   string   `cbor:"1,keyasint" json:"name"`
+	Places int      `cbor:"2,keyasint" json:"places"`
+	Held   []Holder `cbor:"3,keyasint" json:"held"`
+	Line   []string `cbor:"4,keyasint" json:"line,omitempty"` // owners that wait, longest first
+}
+
+// Holder is who holds a place.
+type Holder struct {
+	Owner string  `cbor:"1,keyasint" json:"owner"`
+	Token uint64  `cbor:"2,keyasint" json:"token"`
+	Place int     `cbor:"3,keyasint" json:"place"`
+	Left  float64 `cbor:"4,keyasint" json:"left"` // seconds until the session ends unless it renews
+}
+
+// Leases lists leases by name, from one on, no more than so many.
+func (s *State) Leases(from string, most int) (all []Lease) {
+	for _, n := range s.names() {
+		if n < from || len(all) >= most {
+			continue
+		}
+		all = append(all, s.Lease(n))
+	}
+	return all
+}
+
+// Lease tells of one, with no places if nobody holds or waits for it.
+func (s *State) Lease(name string) Lease {
+	o := Lease{Name: name}
+	l := s.lines[name]
+	if l == nil {
+		return o
+	}
+	o.Places = l.Places
+	for _, g := range l.Held {
+		p := s.byID[g.Session]
+		o.Held = append(o.Held, Holder{p.Owner, g.Token, g.Place, p.Until - s.now})
+	}
+	for _, w := range l.Wait {
+		o.Line = append(o.Line, s.byID[w.Session].Owner)
+	}
+	return o
+}
+
+// image is the state as it is kept and sent.
+type image struct {
+	Terms    Terms      `cbor:"1,keyasint"`
+	Now      float64    `cbor:"2,keyasint"`
+	From     float64    `cbor:"3,keyasint"`
+	Token    uint64     `cbor:"4,keyasint"`
+	Next     float64    `cbor:"5,keyasint"`
+	Sessions []*session `cbor:"6,keyasint"`
+	Lines    []*line    `cbor:"7,keyasint"`
+}
+
+var (
+	encode, _ = cbor.CoreDetEncOptions().EncMode()
+	decode, _ = cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: 1 << 20, MaxNestedLevels: 16,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
+)
+
+// Encode gives the bytes of a value of this package, the same for the same value.
+func Encode(v any) []byte {
+	b, err := encode.Marshal(v)
+	if err != nil { // only a type that cannot be encoded
+		panic(err)
+	}
+	return b
+}
+
+// Decode reads what Encode gave. All of it has to be understood.
+func Decode(b []byte, v any) error {
+	if err := decode.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("lease: %w", err)
+	}
+	return nil
+}
+
+// Image gives the whole state as bytes, the same on every member that has applied the same commands.
+func (s *State) Image() []byte {
+	m := image{s.terms, s.now, s.from, s.token, s.next, s.sessions, make([]*line, 0, len(s.lines))}
+	for _, n := range s.names() {
+		m.Lines = append(m.Lines, s.lines[n])
+	}
+	return Encode(m)
+}
+
+// Restore gives the state that an image was made of.
+func Restore(b []byte) (*State, error) {
+	var m image
+	if err := Decode(b, &m); err != nil {
+		return nil, err
+	}
+	s := &State{terms: m.Terms, now: m.Now, from: m.From, token: m.Token, next: m.Next, sessions: m.Sessions,
+		byID: map[ID]*session{}, lines: map[string]*line{}}
+	for _, p := range s.sessions {
+		s.byID[p.ID] = p
+	}
+	for _, l := range m.Lines {
+		s.lines[l.Name] = l
+	}
+	return s, nil
+}
