Fleet: listener with keys, council on disk and sockets, sessions, tasks under leases

Fleet itself: one goroutine owns the seat, one the session; Act runs a task under its lease. Not linked into the program yet.

--- a/internal/fleet/council/member.go
+++ b/internal/fleet/council/member.go
@@ -10,8 +10,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
-	"log"
 	"maps"
 	"math"
 	"slices"
@@ -34,6 +32,7 @@
 	compactAfter  = 8192     // entries, or
 	compactBytes  = 4 << 20  // bytes of them, that a snapshot replaces
 	keepBehind    = 1024     // entries that stay for members which lag
+	closeBehind   = 64       // entries that a learner may lack to be given its vote
 )
 
 // Seat is a member as all know it: by its broker's name and where that listens.
@@ -42,6 +41,7 @@
 	Broker  string `cbor:"2,keyasint" json:"broker"`
 	Addr    string `cbor:"3,keyasint" json:"addr"`
 	Learner bool   `cbor:"4,keyasint" json:"learner,omitempty"`
+	Instead uint64 `cbor:"5,keyasint,omitempty" json:"instead,omitempty"` // the disk whose seat a learner is to have
 }
 
 // kept is what a snapshot holds.
@@ -109,7 +109,8 @@
 	seats   []Seat
 	conf    *pb.ConfState
 	applied uint64
-	bytes   int // of entries applied since the last snapshot
+	bytes   int  // of entries applied since the last snapshot
+	changed bool // the seats since then: a newcomer takes no snapshot that does not know it
 	since   uint64
 
 	compactAfter, keepBehind uint64
@@ -127,7 +128,7 @@
 }
 
 // NewMember starts a seat from what its store holds.
-func NewMember(s *Store, logger io.Writer) (*Member, error) {
+func NewMember(s *Store, logger raft.Logger) (*Member, error) {
 	m := &Member{id: s.Disk(), store: s, pending: map[uint64][]Request{}, compactAfter: compactAfter, keepBehind: keepBehind}
 	snap, err := s.Snapshot()
 	if err != nil {
@@ -142,7 +143,7 @@
 	m.node, err = raft.NewRawNode(&raft.Config{ID: m.id, ElectionTick: ElectionTicks, HeartbeatTick: 1, Storage: s,
 		Applied: m.applied, MaxSizePerMsg: mostMessage, MaxInflightMsgs: mostInFlight, MaxUncommittedEntriesSize: mostPending,
 		CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, StepDownOnRemoval: true,
-		Logger: &raft.DefaultLogger{Logger: log.New(logger, "", 0)}})
+		Logger: logger})
 	return m, err
 }
 
@@ -406,7 +407,7 @@
 		m.seats = seats
 	}
 	m.conf = m.node.ApplyConfChange(change)
-	m.out.Changed = true
+	m.out.Changed, m.changed = true, true
 	return nil
 }
 
@@ -434,7 +435,7 @@
 		}
 	}
 	seats = slices.DeleteFunc(seats, func(o Seat) bool { return o.Learner })
-	s.Learner = true
+	s.Learner, s.Instead = true, instead
 	changes = append(changes, change(pb.ConfChangeType_ConfChangeAddLearnerNode, s.Disk))
 	return m.node.ProposeConfChange(&pb.ConfChangeV2{Changes: changes, Context: lease.Encode(append(seats, s))})
 }
@@ -449,11 +450,11 @@
 		return errors.New("council: no such learner")
 	}
 	p, ok := m.node.Status().Progress[disk]
-	if _, commit, _ := m.Progress(); !ok || !p.RecentActive || p.Match+mostInFlight < commit {
+	if _, commit, _ := m.Progress(); !ok || !p.RecentActive || p.Match == 0 || p.Match+closeBehind < commit {
 		return errors.New("council: the learner has not caught up")
 	}
 	seats := slices.Clone(m.seats)
-	seats[i].Learner = false
+	seats[i].Learner, seats[i].Instead = false, 0
 	seats = slices.DeleteFunc(seats, func(o Seat) bool { return o.Disk == instead })
 	return m.node.ProposeConfChange(&pb.ConfChangeV2{Context: lease.Encode(seats), Changes: []*pb.ConfChangeSingle{
 		change(pb.ConfChangeType_ConfChangeAddNode, disk), change(pb.ConfChangeType_ConfChangeRemoveNode, instead)}})
@@ -510,9 +511,9 @@
 
 // compact replaces what is carried out by a snapshot, so that disk, memory and start stay level.
 func (m *Member) compact() error {
-	if m.applied-m.since < m.compactAfter && m.bytes < compactBytes || m.applied == m.since {
+	if !m.changed && m.applied-m.since < m.compactAfter && m.bytes < compactBytes || m.applied == m.since {
 		return nil
 	}
-	m.since, m.bytes = m.applied, 0
+	m.since, m.bytes, m.changed = m.applied, 0, false
 	return m.store.Compact(m.applied, m.conf, lease.Encode(kept{m.seats, m.state.Image()}), m.keepBehind)
 }
--- a/internal/fleet/council/store.go
+++ b/internal/fleet/council/store.go
@@ -111,6 +111,10 @@
 	}
 	raw := marshal(snap)
 	hard := &pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}
+	if was, _, _ := s.InitialState(); !raft.IsEmptyHardState(was) { // it has voted already in the council that it belongs to
+		hard = proto.Clone(was).(*pb.HardState)
+		hard.Commit = proto.Uint64(1)
+	}
 	if err := s.put(Batch{Founding: raw, Snapshot: raw, Reset: true, Hard: marshal(hard)}); err != nil {
 		return err
 	}
--- a/internal/fleet/council/worlds_test.go
+++ b/internal/fleet/council/worlds_test.go
@@ -7,10 +7,12 @@
 	"flag"
 	"fmt"
 	"io"
+	"log"
 	"slices"
 	"testing"
 	"testing/cryptotest"
 
+	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
@@ -36,6 +38,8 @@
 	crash func() (before, after bool)
 }
 
+var quiet = &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}
+
 var errCrash = errors.New("the process ended here")
 
 func (p *platter) Load() (Kept, error) { return p.kept.Kept, nil }
@@ -287,7 +291,7 @@
 func (w *world) start(i int) {
 	s, err := Open(w.disks[i])
 	if err == nil {
-		w.members[i], err = NewMember(s, io.Discard)
+		w.members[i], err = NewMember(s, quiet)
 	}
 	if err != nil {
 		w.t.Fatalf("seed %d: member %d does not start: %v", w.seed, i, err)
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,352 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/internal/fleet/council"
+	"brackenfront/internal/fleet/wire"
+	"brackenfront/lease"
+)
+
+// Named is one broker of the council, as the operators' file names it.
+type Named struct{ Broker, Addr string }
+
+// Stated is what an operator states of the fleet.
+type Stated struct {
+	Broker   string  // this one's name in the fleet
+	Listen   string  // where it listens for the fleet; needed in the council
+	Keys     string  // file of the fleet's keys
+	Dir      string  // folder of its seat; needed in the council
+	Council  []Named // 3, 5 or 7
+	Founding uint32  // counts the councils that were founded with these brokers; above 0
+	Terms    lease.Terms
+	Tick     time.Duration // a tenth of the least time until a leader is replaced
+}
+
+// Seated is whether this broker is one of the council.
+func (s Stated) Seated() bool {
+	return slices.ContainsFunc(s.Council, func(n Named) bool { return n.Broker == s.Broker })
+}
+
+const (
+	mostConns   = 4096 // from other brokers at once
+	mostShaking = 64   // of them that have not shown a key yet
+	mostClient  = 1 << 20
+	mostPeer    = 64 << 20
+	queued      = 256 // frames that wait for one connection; beyond, it is closed
+	inboxed     = 1024
+)
+
+// Node is this process in the fleet.
+type Node struct {
+	stated  Stated
+	world   World
+	keys    *wire.Keys
+	log     *logrus.Logger
+	process [16]byte
+	ln      net.Listener
+	seat    *seat // nil without one
+	client  *client
+	stop    context.CancelFunc
+	all     sync.WaitGroup
+
+	mu      sync.Mutex
+	conns   map[*wire.Conn]bool
+	shaking int
+	counts  map[string]int64
+	acts    atomic.Int64    // calls of Act that go on
+	acting  map[string]bool // tasks that have not returned
+}
+
+// Start joins the fleet. An error is of what was stated, or of what this process cannot have: a listener, a folder.
+func Start(s Stated, w World, log *logrus.Logger) (*Node, error) {
+	keys, err := wire.ReadKeys(s.Keys)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{stated: s, world: w, keys: keys, log: log, conns: map[*wire.Conn]bool{}, counts: map[string]int64{}, acting: map[string]bool{}}
+	w.Random(n.process[:])
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	if s.Seated() {
+		if n.seat, err = n.newSeat(); err != nil {
+			stop()
+			return nil, err
+		}
+	}
+	if s.Listen != "" {
+		if n.ln, err = w.Listen(s.Listen); err != nil {
+			stop()
+			if n.seat != nil {
+				n.seat.store.Close()
+			}
+			return nil, fmt.Errorf("fleet: %w", err)
+		}
+		n.all.Go(func() { n.accept(ctx) })
+	}
+	if n.seat != nil {
+		n.all.Go(func() { n.seat.run(ctx) })
+	}
+	n.client = n.newClient()
+	n.all.Go(func() { n.client.run(ctx) })
+	return n, nil
+}
+
+// Addr is where it listens; empty for nowhere.
+func (n *Node) Addr() string {
+	if n.ln == nil {
+		return ""
+	}
+	return n.ln.Addr().String()
+}
+
+// Rekey reads the keys again. Connections that stand keep theirs.
+func (n *Node) Rekey() error { return n.keys.Read(n.stated.Keys) }
+
+// Close leaves the fleet: tasks are told to end and waited for within ctx, then all leases are released and the seat's
+// lead is handed on; what has not been done when ctx ends is left to the leases' own end.
+func (n *Node) Close(ctx context.Context) {
+	n.client.close(ctx)
+	if n.seat != nil {
+		n.seat.close(ctx)
+	}
+	n.stop()
+	if n.ln != nil {
+		n.ln.Close()
+	}
+	n.mu.Lock()
+	for c := range n.conns {
+		c.Close()
+	}
+	n.mu.Unlock()
+	n.all.Wait()
+}
+
+func (n *Node) count(what string) {
+	n.mu.Lock()
+	n.counts[what]++
+	n.mu.Unlock()
+}
+
+// Counts are how often what happened since the start.
+func (n *Node) Counts() map[string]int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := make(map[string]int64, len(n.counts))
+	for k, v := range n.counts {
+		c[k] = v
+	}
+	return c
+}
+
+func (n *Node) hello(k wire.Kind) wire.Hello {
+	h := wire.Hello{Kind: k, Broker: n.stated.Broker, Process: n.process, Addr: n.stated.Listen}
+	if n.seat != nil {
+		n.seat.introduce(&h)
+	}
+	return h
+}
+
+// keep holds a connection so that Close ends it; false when the node is closing or has too many.
+func (n *Node) keep(ctx context.Context, c *wire.Conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ctx.Err() != nil || len(n.conns) >= mostConns {
+		c.Close()
+		return false
+	}
+	n.conns[c] = true
+	return true
+}
+
+func (n *Node) drop(c *wire.Conn) {
+	c.Close()
+	n.mu.Lock()
+	delete(n.conns, c)
+	n.mu.Unlock()
+}
+
+// dial makes a connection of a kind, with the handshake.
+func (n *Node) dial(ctx context.Context, addr string, k wire.Kind) (*wire.Conn, wire.Hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	raw, err := n.world.Dial(ctx, addr)
+	if err != nil {
+		return nil, wire.Hello{}, err
+	}
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	defer stop()
+	c, theirs, err := wire.Dial(raw, n.keys, n.hello(k))
+	if err != nil {
+		raw.Close()
+		n.count("dial " + wire.Reason(err))
+	}
+	return c, theirs, err
+}
+
+func (n *Node) accept(ctx context.Context) {
+	for {
+		raw, err := n.ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			n.count("accept failed")
+			select { // want of descriptors passes
+			case <-ctx.Done():
+				return
+			case <-time.After(n.stated.Tick):
+			}
+			continue
+		}
+		n.mu.Lock()
+		full := n.shaking >= mostShaking || len(n.conns) >= mostConns
+		if !full {
+			n.shaking++
+		}
+		n.mu.Unlock()
+		if full {
+			raw.Close()
+			n.count("crowded")
+			continue
+		}
+		n.all.Go(func() {
+			stop := context.AfterFunc(ctx, func() { raw.Close() })
+			c, theirs, err := wire.Accept(raw, n.keys, n.hello(0))
+			stop()
+			n.mu.Lock()
+			n.shaking--
+			n.mu.Unlock()
+			if err != nil {
+				raw.Close()
+				n.count("refused " + wire.Reason(err))
+				return
+			}
+			if !n.keep(ctx, c) {
+				return
+			}
+			defer n.drop(c)
+			if theirs.Kind == wire.Peer && n.seat != nil {
+				err = n.seat.hear(ctx, c, theirs)
+			} else if theirs.Kind == wire.Client {
+				err = n.answer(ctx, c, theirs)
+			}
+			if err != nil {
+				n.count("ended " + wire.Reason(err))
+			}
+		})
+	}
+}
+
+// The kinds of frames.
+const (
+	frameRaft   = 'm' // marks of the disk, a message of Raft
+	frameFound  = 'f' // the founding of a council
+	frameOld    = 'o' // your disk has been further on than it is: it is an old copy
+	frameAsk    = 'q'
+	frameAnswer = 'a'
+	frameNews   = 'n'
+)
+
+// question is what a client asks.
+type question struct {
+	Handle  uint64        `cbor:"1,keyasint"`
+	Call    *lease.Call   `cbor:"2,keyasint,omitempty"`
+	Look    *council.Look `cbor:"3,keyasint,omitempty"`
+	Status  bool          `cbor:"4,keyasint,omitempty"`
+	Replace *Replace      `cbor:"5,keyasint,omitempty"`
+}
+
+// Replace asks that a broker's seat goes to another broker, which runs with a blank disk and this council stated.
+type Replace struct {
+	Seat string `cbor:"1,keyasint"`
+	With string `cbor:"2,keyasint"`
+}
+
+// answered is what comes back.
+type answered struct {
+	Handle uint64        `cbor:"1,keyasint"`
+	Answer *lease.Answer `cbor:"2,keyasint,omitempty"`
+	Seen   *council.Seen `cbor:"3,keyasint,omitempty"`
+	Status *Status       `cbor:"4,keyasint,omitempty"`
+	Err    string        `cbor:"5,keyasint,omitempty"`
+	Lead   string        `cbor:"6,keyasint,omitempty"` // broker to ask instead, and
+	Addr   string        `cbor:"7,keyasint,omitempty"` // where it says that it listens
+}
+
+// caller is a client's connection, on the side that answers.
+type caller struct {
+	c    *wire.Conn
+	out  chan answered
+	news chan lease.Grant
+}
+
+// tell queues an answer; one whose client does not read is closed.
+func (c *caller) tell(a answered) {
+	select {
+	case c.out <- a:
+	default:
+		c.c.Close()
+	}
+}
+
+// answer serves a client's connection until it ends.
+func (n *Node) answer(ctx context.Context, c *wire.Conn, theirs wire.Hello) error {
+	me := &caller{c, make(chan answered, queued), make(chan lease.Grant, queued)}
+	gone := make(chan struct{})
+	var writer sync.WaitGroup
+	writer.Go(func() {
+		for {
+			var err error
+			select {
+			case a := <-me.out:
+				err = c.Write(frameAnswer, wire.Pack(a))
+			case g := <-me.news:
+				err = c.Write(frameNews, wire.Pack(g))
+			case <-gone:
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+	defer func() {
+		close(gone)
+		writer.Wait()
+		if n.seat != nil {
+			n.seat.do(ctx, func() { n.seat.gone(me) })
+		}
+	}()
+	quiet := time.Duration(2*n.stated.Terms.TTL*float64(time.Second)) + 10*time.Second
+	for {
+		c.Quiet(quiet)
+		kind, raw, err := c.Read(mostClient)
+		if err != nil {
+			return err
+		}
+		var q question
+		if err := wire.Unpack(raw, &q); err != nil || kind != frameAsk {
+			return wire.ErrBad
+		}
+		switch {
+		case n.seat == nil && q.Status:
+			me.tell(answered{Handle: q.Handle, Status: n.Status()})
+		case n.seat == nil:
+			me.tell(answered{Handle: q.Handle, Err: "this broker has no seat in the council"})
+		default:
+			if !n.seat.do(ctx, func() { n.seat.asked(me, &q) }) {
+				return nil
+			}
+		}
+	}
+}
--- a/lease/session.go
+++ b/lease/session.go
@@ -383,3 +383,6 @@
 
 // Pace is how this process's clock runs against the council's.
 func (s *Session) Pace() *Pace { return &s.pace }
+
+// Lapse drops what is held if its right has passed, for a caller that has nowhere to send to.
+func (s *Session) Lapse(now float64) { s.lapse(now) }
