--- a/cmd/brackenflight/main.go
+++ b/cmd/brackenflight/main.go
@@ -1,11 +1,14 @@
-// Command brackenflight is brackenfront with Arrow Flight: the same program, a door and a back end more.
+// Command brackenflight is brackenfront with its optional parts: Arrow Flight, and the fleet.
 package main
 
 import (
 	"os"
 
 	"brackenfront/internal/program"
+	"brackenfront/internal/program/withfleet"
 	"brackenfront/internal/program/withflight"
 )
 
-func main() { os.Exit(program.Main("brackenflight", os.Args[1:], withflight.Flight())) }
+func main() {
+	os.Exit(program.Main("brackenflight", os.Args[1:], program.Extra{Flight: withflight.Flight(), Fleet: withfleet.Fleet()}))
+}
--- /dev/null
+++ b/internal/fleetrig/rig_test.go
@@ -0,0 +1,117 @@
+package fleetrig
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+var (
+	seed = flag.Uint64("seed", 0, "play this schedule alone; 0 for the fixed handful")
+	only = flag.String("only", "", "of its faults, these numbers, with commas")
+	runs = flag.Int("runs", 1, "schedules from that seed on")
+	kept = flag.String("kept", "", "folder for the logs of runs that fail")
+)
+
+func TestMain(m *testing.M) {
+	Body()
+	os.Exit(m.Run())
+}
+
+func numbers(t *testing.T) (all []int) {
+	if *only == "" {
+		return nil
+	}
+	for s := range strings.SplitSeq(*only, ",") {
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, n)
+	}
+	return all
+}
+
+// TestOneHolder starts several processes, puts faults between them by schedules drawn from seeds, and has the judge
+// look: rights to one place never overlap, tokens of accepted acts never fall, and once faults end all leases move.
+func TestOneHolder(t *testing.T) {
+	plays := []Play{{Seed: 1, Seats: 3, Actors: 4}, {Seed: 2, Seats: 3, Actors: 4}, {Seed: 3, Seats: 5, Actors: 3}, {Seed: 4, Seats: 3, Actors: 5}}
+	if *seed > 0 {
+		plays = nil
+		for i := range uint64(*runs) {
+			plays = append(plays, Play{Seed: *seed + i, Seats: 3 + int((*seed+i)%5/4)*2, Actors: 4, Only: numbers(t)})
+		}
+	}
+	lanes := make(chan bool, 2)
+	var all sync.WaitGroup
+	for _, p := range plays {
+		p.Faults, p.Length, p.Kept, p.Dir = 8, 4*time.Second, *kept, t.TempDir()
+		lanes <- true
+		all.Go(func() {
+			defer func() { <-lanes }()
+			res, err := p.Run(context.Background())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if res.Bad() || res.Count < 20 {
+				t.Errorf("seed %d: rights %v, acts %v, stalled %v, broken %v, %d acts\nfaults:\n%s", p.Seed, res.Rights, res.Acts, res.Stalled, res.Broken, res.Count,
+					strings.Join(res.Faults, "\n"))
+			}
+			t.Logf("seed %d: %d grants, %d acts, %d refused for their token, all leases moved %.2f s after the faults", p.Seed, res.Grants, res.Count, res.Low, res.Back)
+		})
+	}
+	all.Wait()
+}
+
+// TestFrozen: a holder that stands still between the look at its right and the act, until long after another holds the
+// lease: its act is refused by its token.
+func TestFrozen(t *testing.T) {
+	res, err := Play{Seed: 5, Seats: 3, Actors: 3, Freeze: true, Length: 4 * time.Second, Dir: t.TempDir()}.Run(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res.Bad() || res.Low == 0 {
+		t.Errorf("%+v", res)
+	}
+	t.Logf("%d acts, %d refused for their token", res.Count, res.Low)
+}
+
+// TestJudgeFinds: without the margin for drift, or with targets that do not look at tokens, the judge has to find what
+// no fleet may do: one that never finds anything proves nothing.
+func TestJudgeFinds(t *testing.T) {
+	rights := func(r *Result) int { return len(r.Rights) }
+	for _, c := range []struct {
+		play  Play
+		finds func(r *Result) int
+		want  bool
+	}{
+		{Play{Seed: 11, NoDrift: true, Kind: "stand still"}, rights, true},
+		{Play{Seed: 11, Kind: "stand still"}, rights, false}, // the same with the margin
+		{Play{Seed: 12, NoToken: true, Freeze: true}, func(r *Result) int { return len(r.Acts) }, true},
+	} {
+		found := 0
+		for tries := uint64(0); tries < 5 && found == 0; tries++ {
+			p := c.play
+			p.Seed, p.Seats, p.Actors, p.Faults, p.Length, p.Dir = p.Seed+10*tries, 3, 3, 10, 5*time.Second, t.TempDir()
+			res, err := p.Run(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			found = c.finds(res)
+			t.Log(fmt.Sprintf("seed %d: %d rights at once, %d bad acts of %d", p.Seed, len(res.Rights), len(res.Acts), res.Count))
+			if !c.want {
+				break
+			}
+		}
+		if c.want != (found > 0) {
+			t.Errorf("spoilt as %+v, the judge found %d", c.play, found)
+		}
+	}
+}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -16,6 +16,7 @@
 	"github.com/tailscale/hujson"
 
 	"brackenfront/halls"
+	"brackenfront/lease"
 )
 
 // Options are an operator's choices. The zero values of Flight and Halls keep them off.
@@ -37,6 +38,19 @@
 		ForgetMS  int          // quiet time that pays back one loss
 		Ranks     *halls.Order // Order, read
 	}
+	Fleet struct {
+		Broker   string // this one's name in the fleet
+		Council  []string
+		Listen   string // address for the fleet alone
+		Keys     string // file of one or two keys
+		Dir      string // folder of a seat in the council
+		Founding int    // counts the councils that these brokers have founded
+		TTLMS    int    // of a lease
+		Drift    int    // how far clocks may be off, in thousandths
+		TickMS   int    // a tenth of the least time until a leader is replaced
+		Seats    []Seat // Council, read; none: the fleet is off
+		Terms    lease.Terms
+	}
 	Log struct {
 		Level  string
 		Format string // text or json
@@ -45,6 +59,9 @@
 	from map[string]string // where each value came from
 }
 
+// Seat is one broker of the fleet's council.
+type Seat struct{ Broker, Addr string }
+
 // field is one choice: its name in the file, what is expected there, and whether SIGHUP can change it.
 type field struct {
 	name, want string
@@ -55,14 +72,7 @@
 
 var fields = []field{
 	text("flight.listen", "an address like 127.0.0.1:5100, or \"\" for none", false,
-		func(o *Options) *string { return &o.Flight.Listen }, func(s string) bool {
-			if s == "" {
-				return true
-			}
-			_, port, err := net.SplitHostPort(s)
-			n, bad := strconv.Atoi(port)
-			return err == nil && bad == nil && n >= 0 && n < 1<<16
-		}),
+		func(o *Options) *string { return &o.Flight.Listen }, address),
 	yes("flight.leaves", func(o *Options) *bool { return &o.Flight.Leaves }),
 	number("flight.held_mb", 1, 1<<20, func(o *Options) *int { return &o.Flight.HeldMB }),
 	number("flight.part_mb", 1, 1<<11-1, func(o *Options) *int { return &o.Flight.PartMB }),
@@ -76,12 +86,103 @@
 	number("halls.wait_ms", 10, 3_600_000, func(o *Options) *int { return &o.Halls.WaitMS }),
 	number("halls.longest_ms", 10, 3_600_000, func(o *Options) *int { return &o.Halls.LongestMS }),
 	number("halls.forget_ms", 10, 86_400_000, func(o *Options) *int { return &o.Halls.ForgetMS }),
+	text("fleet.broker", "a name of up to 64 letters, digits, dots and dashes, or \"\" for none", false,
+		func(o *Options) *string { return &o.Fleet.Broker }, func(s string) bool { return s == "" || named(s) }),
+	{"fleet.council", `none, or 3, 5 or 7 texts like "b1=127.0.0.1:5200"`, false,
+		func(o *Options, v any) (ok bool) { o.Fleet.Council, ok = lines(v); return ok },
+		func(o *Options) any { return strings.Join(o.Fleet.Council, "; ") }},
+	text("fleet.listen", "an address like 127.0.0.1:5200, or \"\" for none", false,
+		func(o *Options) *string { return &o.Fleet.Listen }, address),
+	text("fleet.keys", "the name of a file", false, func(o *Options) *string { return &o.Fleet.Keys }, any4096),
+	text("fleet.dir", "the name of a folder", false, func(o *Options) *string { return &o.Fleet.Dir }, any4096),
+	number("fleet.founding", 1, 1<<20, func(o *Options) *int { return &o.Fleet.Founding }),
+	number("fleet.ttl_ms", 400, 3_600_000, func(o *Options) *int { return &o.Fleet.TTLMS }),
+	number("fleet.drift_permille", 1, 200, func(o *Options) *int { return &o.Fleet.Drift }),
+	number("fleet.tick_ms", 10, 60_000, func(o *Options) *int { return &o.Fleet.TickMS }),
 	text("log.level", "error, warning, info or debug", true, func(o *Options) *string { return &o.Log.Level },
 		func(s string) bool { return slices.Contains([]string{"error", "warning", "info", "debug"}, s) }),
 	text("log.format", "text or json", true, func(o *Options) *string { return &o.Log.Format },
 		func(s string) bool { return s == "text" || s == "json" }),
 }
 
+// address is whether a text is one to listen at, or none.
+func address(s string) bool {
+	if s == "" {
+		return true
+	}
+	_, port, err := net.SplitHostPort(s)
+	n, bad := strconv.Atoi(port)
+	return err == nil && bad == nil && n >= 0 && n < 1<<16
+}
+
+func any4096(s string) bool { return len(s) <= 4096 }
+
+// named is whether a text can be a broker's name.
+func named(s string) bool {
+	ok := s != "" && len(s) <= 64
+	for _, r := range s {
+		ok = ok && (r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '.' || r == '-')
+	}
+	return ok
+}
+
+// fleet reads the council, and says what does not fit together.
+func (o *Options) fleet() (wrong []error) {
+	f := &o.Fleet
+	say := func(field, format string, args ...any) {
+		wrong = append(wrong, fmt.Errorf("field fleet."+field+": "+format, args...))
+	}
+	f.Terms = lease.Usual()
+	f.Terms.TTL, f.Terms.Drift = float64(f.TTLMS)/1e3, float64(f.Drift)/1e3
+	if err := f.Terms.Check(); err != nil {
+		wrong = append(wrong, fmt.Errorf("field fleet.ttl_ms or fleet.drift_permille: %w", err))
+	}
+	if f.TickMS*ticksInTTL > f.TTLMS {
+		say("tick_ms", "got %d, expected no more than a %dth of fleet.ttl_ms, %d: a leader has to be replaced well within a lease",
+			f.TickMS, ticksInTTL, f.TTLMS)
+	}
+	for _, one := range f.Council {
+		name, addr, ok := strings.Cut(one, "=")
+		name, addr = strings.TrimSpace(name), strings.TrimSpace(addr)
+		switch {
+		case !ok || !named(name) || addr == "" || !address(addr):
+			say("council", "got %q, expected a text like \"b1=127.0.0.1:5200\"", one)
+		case slices.ContainsFunc(f.Seats, func(s Seat) bool { return s.Broker == name }):
+			say("council", "%s stands twice", name)
+		case slices.ContainsFunc(f.Seats, func(s Seat) bool { return s.Addr == addr }):
+			say("council", "%s stands twice", addr)
+		default:
+			f.Seats = append(f.Seats, Seat{name, addr})
+		}
+	}
+	if n := len(f.Council); n == 0 {
+		if f.Broker != "" {
+			say("council", "got none, expected 3, 5 or 7 brokers as fleet.broker is %q", f.Broker)
+		}
+		return wrong
+	} else if n != 3 && n != 5 && n != 7 {
+		say("council", "got %d brokers, expected 3, 5 or 7: an even number bears no more losses than one less", n)
+	}
+	if f.Broker == "" {
+		say("broker", "got none, expected this broker's name, as fleet.council is given")
+	}
+	if f.Keys == "" {
+		say("keys", "got none, expected a file, as fleet.council is given")
+	}
+	if slices.ContainsFunc(f.Seats, func(s Seat) bool { return s.Broker == f.Broker }) {
+		if f.Listen == "" {
+			say("listen", "got none, expected an address, as %s is of the council", f.Broker)
+		}
+		if f.Dir == "" {
+			say("dir", "got none, expected a folder, as %s is of the council", f.Broker)
+		}
+	}
+	return wrong
+}
+
+// ticksInTTL is how many ticks a lease has at the least: a leader is replaced within some twenty of them.
+const ticksInTTL = 40
+
 func text(name, want string, live bool, at func(*Options) *string, fits func(string) bool) field {
 	return field{name, want, live, func(o *Options, v any) bool {
 		s, ok := v.(string)
@@ -156,6 +257,7 @@
 	o := &Options{from: map[string]string{}}
 	o.Flight.HeldMB, o.Flight.PartMB, o.Flight.Streams, o.Flight.Conns = 32, 16, 64, 64
 	o.Halls.Spill, o.Halls.WaitMS, o.Halls.LongestMS, o.Halls.ForgetMS = 80, 2000, 60_000, 60_000
+	o.Fleet.Founding, o.Fleet.TTLMS, o.Fleet.Drift, o.Fleet.TickMS = 1, 10_000, 10, 100
 	o.Log.Level, o.Log.Format = "info", "text"
 	var wrong []error
 	put := func(name string, v any, from string) {
@@ -203,6 +305,7 @@
 	if o.Halls.Ranks, err = halls.ParseOrder(o.Halls.Order); err != nil {
 		wrong = append(wrong, fmt.Errorf("field halls.order: %w", err))
 	}
+	wrong = append(wrong, o.fleet()...)
 	if len(wrong) > 0 {
 		return nil, errors.Join(wrong...)
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -35,6 +35,36 @@
 	Door func(b *protocol.Boot, o *options.Options, r *routing.Router, log *logrus.Logger) (Door, error)
 }
 
+// Fleet is what a program adds that takes part in a fleet: docs/fleet.md.
+type Fleet struct {
+	Check func(o *options.Options) error // of what the options name: keys, a folder
+	Start func(o *options.Options, log *logrus.Logger) (Party, error)
+	Ask   func(o *options.Options, a Ask) error // an operator's command; prints
+}
+
+// Party is this process's part in the fleet. Searches never wait for it.
+type Party interface {
+	Addr() string
+	Rekey() error
+	Report()
+	Close(ctx context.Context)
+}
+
+// Extra is what a build has beside the daemon.
+type Extra struct {
+	Flight *Flight
+	Fleet  *Fleet
+}
+
+// Ask is what an operator asks of the fleet.
+type Ask struct {
+	What       string // status, leases or replace
+	JSON       bool
+	From       string
+	Most       int
+	Seat, With string
+}
+
 // Back is a back end that shares the descriptors.
 type Back interface {
 	routing.Leaves
@@ -60,10 +90,24 @@
 	Serve   struct{} `cmd:"" default:"1" help:"Serve (also without any command)."`
 	Check   struct{} `cmd:"" help:"Read everything, print what would hold and where it comes from, start nothing."`
 	Version struct{} `cmd:"" help:"Print the version."`
+	Fleet   struct {
+		JSON   bool     `help:"Print JSON." name:"json"`
+		Status struct{} `cmd:"" help:"How each broker of the council stands."`
+		Leases struct {
+			From string `help:"Names from here on."`
+			Most int    `help:"No more than so many." default:"100"`
+		} `cmd:"" help:"Who holds what, and who waits."`
+		Council struct {
+			Replace struct {
+				Seat string `arg:"" help:"The broker whose seat is given away."`
+				With string `arg:"" help:"The broker that gets it; it runs, with a blank folder and this council stated."`
+			} `cmd:"" help:"Give one seat to another broker."`
+		} `cmd:"" help:"Change the council, one seat at a time."`
+	} `cmd:"" help:"Ask the fleet that the options name."`
 }
 
 // Main runs the program and gives its exit code: 2 for a command line that cannot be read.
-func Main(name string, args []string, flight *Flight) (code int) {
+func Main(name string, args []string, extra Extra) (code int) {
 	log := logrus.New()
 	form(log, "text")
 	var l line
@@ -83,10 +127,15 @@
 		return 2
 	}
 	switch c.Command() {
+	case "fleet status", "fleet leases", "fleet council replace <seat> <with>":
+		if err := l.fleet(extra, strings.Fields(c.Command())); err != nil {
+			fmt.Fprintln(os.Stderr, name+":", err)
+			return 1
+		}
 	case "version":
 		fmt.Println(name, version())
 	case "check":
-		boot, o, err := l.read(flight)
+		boot, o, err := l.read(extra)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 1
@@ -97,7 +146,7 @@
 			fmt.Println(t)
 		}
 	default:
-		if err := l.run(log, flight); err != nil {
+		if err := l.run(log, extra); err != nil {
 			log.WithError(err).Error(name + " ends")
 			return 1
 		}
@@ -122,29 +171,66 @@
 }
 
 // read reads the configuration and the operators' file.
-func (l *line) read(flight *Flight) (*protocol.Boot, *options.Options, error) {
+func (l *line) read(extra Extra) (*protocol.Boot, *options.Options, error) {
 	boot, err := configure()
-	var raw []byte
-	if l.Options != "" {
-		var bad error
-		if raw, bad = os.ReadFile(l.Options); bad != nil {
-			return nil, nil, errors.Join(err, fmt.Errorf("options: %w", bad))
-		}
-	}
-	o, bad := options.Read(raw, os.Getenv, l.Set)
+	o, bad := l.choices()
 	if bad != nil {
-		return nil, nil, errors.Join(err, fmt.Errorf("options: %w", bad))
+		return nil, nil, errors.Join(err, bad)
 	}
-	if flight == nil && (o.Flight.Listen != "" || o.Flight.Leaves) {
+	if extra.Flight == nil && (o.Flight.Listen != "" || o.Flight.Leaves) {
 		err = errors.Join(err, errors.New("options: fields flight.listen and flight.leaves: expected \"\" and false, "+
 			"as this program is built without Flight; brackenflight has it"))
 	}
+	if len(o.Fleet.Seats) > 0 {
+		if extra.Fleet == nil {
+			err = errors.Join(err, errNoFleet)
+		} else if bad := extra.Fleet.Check(o); bad != nil {
+			err = errors.Join(err, fmt.Errorf("options: %w", bad))
+		}
+	}
 	if boot != nil && err == nil {
 		err = guard(boot, o)
 	}
 	return boot, o, err
 }
 
+var errNoFleet = errors.New("options: field fleet.council: expected none, as this program is built without the fleet; brackenflight has it")
+
+// choices reads the operators' file alone.
+func (l *line) choices() (*options.Options, error) {
+	var raw []byte
+	if l.Options != "" {
+		var err error
+		if raw, err = os.ReadFile(l.Options); err != nil {
+			return nil, fmt.Errorf("options: %w", err)
+		}
+	}
+	o, err := options.Read(raw, os.Getenv, l.Set)
+	if err != nil {
+		return nil, fmt.Errorf("options: %w", err)
+	}
+	return o, nil
+}
+
+// fleet asks the fleet for an operator; what names it is in the options, and no broker has to run here.
+func (l *line) fleet(extra Extra, command []string) error {
+	o, err := l.choices()
+	if err != nil {
+		return err
+	}
+	if len(o.Fleet.Seats) == 0 {
+		return errors.New("options: field fleet.council: got none, expected the fleet's to ask it")
+	}
+	if extra.Fleet == nil {
+		return errNoFleet
+	}
+	a := Ask{What: command[1], JSON: l.Fleet.JSON, From: l.Fleet.Leases.From, Most: l.Fleet.Leases.Most}
+	if a.What == "council" {
+		a.What, a.Seat, a.With = "replace", l.Fleet.Council.Replace.Seat, l.Fleet.Council.Replace.With
+	}
+	return extra.Fleet.Ask(o, a)
+}
+
 // guard puts the operator's choices on whole halls into the terms. What a hall begins again with, and for how
 // long, the settings say of a single cold node.
 func guard(boot *protocol.Boot, o *options.Options) error {
@@ -198,8 +284,8 @@
 // that the platform lets clients hold for requests.
 const unused = 6
 
-func (l *line) run(log *logrus.Logger, flight *Flight) error {
-	boot, chosen, err := l.read(flight)
+func (l *line) run(log *logrus.Logger, extra Extra) error {
+	boot, chosen, err := l.read(extra)
 	if err != nil {
 		return err
 	}
@@ -215,7 +301,7 @@
 	var leaves Back
 	if chosen.Flight.Leaves {
 		room.Most = int64(chosen.Flight.HeldMB) << 20
-		leaves = flight.Back(boot, chosen, room, log)
+		leaves = extra.Flight.Back(boot, chosen, room, log)
 		backs, pool.backs = append(backs, leaves), append(pool.backs, leaves)
 	}
 	router, err := routing.New(boot.Deployment, boot.Known, backs...)
@@ -240,12 +326,20 @@
 	}
 	var door Door
 	if chosen.Flight.Listen != "" {
-		if door, err = flight.Door(boot, chosen, router, log); err != nil {
+		if door, err = extra.Flight.Door(boot, chosen, router, log); err != nil {
 			return err
 		}
 		pool.doors = append(pool.doors, door)
 	}
 
+	var party Party
+	if len(chosen.Fleet.Seats) > 0 {
+		if party, err = extra.Fleet.Start(chosen, log); err != nil {
+			return err
+		}
+		log.WithField("broker", chosen.Fleet.Broker).WithField("listen", party.Addr()).Info("in the fleet")
+	}
+
 	served, drained := make(chan error, 2), make(chan struct{})
 	watched := make(chan struct{}) // the log's own goroutine, as the router waits for no log
 	go func() {
@@ -264,6 +358,9 @@
 		if door != nil {
 			door.Report(log)
 		}
+		if party != nil {
+			party.Report()
+		}
 	}
 	if door != nil {
 		go func() { served <- door.Serve() }()
@@ -280,13 +377,18 @@
 			case s == syscall.SIGUSR1:
 				counters()
 			case s == syscall.SIGHUP:
-				again, newer, err := l.read(flight)
+				again, newer, err := l.read(extra)
 				if err != nil {
 					log.WithError(err).Error("the configuration could not be read again, the running one stays")
 					break
 				}
 				limit(again)
 				apply(log, newer)
+				if party != nil {
+					if err := party.Rekey(); err != nil {
+						log.WithError(err).Error("fleet: the keys could not be read again, the running ones stay")
+					}
+				}
 				fixed := boot.Differs(again) // with any of these, none of the settings holds
 				if leaves != nil && !boot.Links(again.Deployment) {
 					fixed = append(fixed, "settings.policyLimits (with flight.leaves)")
@@ -323,6 +425,9 @@
 					if door != nil {
 						doors.Go(func() { door.Drain(ctx, late) })
 					}
+					if party != nil { // leases first of all: others wait for them
+						doors.Go(func() { party.Close(ctx) })
+					}
 					server.Drain(ctx, late)
 					doors.Wait()
 					close(drained)
--- /dev/null
+++ b/internal/program/withfleet/withfleet.go
@@ -0,0 +1,170 @@
+// Package withfleet is what a program adds that takes part in a fleet.
+package withfleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/internal/fleet"
+	"brackenfront/internal/fleet/council"
+	"brackenfront/internal/fleet/wire"
+	"brackenfront/internal/options"
+	"brackenfront/internal/program"
+)
+
+// Fleet adds leases and what stands on them.
+func Fleet() *program.Fleet {
+	return &program.Fleet{Check: check, Start: func(o *options.Options, log *logrus.Logger) (program.Party, error) {
+		return fleet.Start(stated(o), fleet.Real(), log)
+	}, Ask: ask}
+}
+
+func stated(o *options.Options) fleet.Stated {
+	f := &o.Fleet
+	return fleet.Stated{Broker: f.Broker, Listen: f.Listen, Keys: f.Keys, Dir: f.Dir, Council: seats(o), Founding: uint32(f.Founding),
+		Terms: f.Terms, Tick: time.Duration(f.TickMS) * time.Millisecond}
+}
+
+func seats(o *options.Options) (all []fleet.Named) {
+	for _, s := range o.Fleet.Seats {
+		all = append(all, fleet.Named{Broker: s.Broker, Addr: s.Addr})
+	}
+	return all
+}
+
+// check looks at what the options name: keys, and a folder that can be written.
+func check(o *options.Options) error {
+	if _, err := wire.ReadKeys(o.Fleet.Keys); err != nil {
+		return fmt.Errorf("field fleet.keys: %w", err)
+	}
+	if !stated(o).Seated() {
+		return nil
+	}
+	f, err := os.CreateTemp(o.Fleet.Dir, ".probe")
+	if err != nil {
+		return fmt.Errorf("field fleet.dir: expected a folder that can be written: %w", err)
+	}
+	f.Close()
+	if err := os.Remove(f.Name()); err != nil {
+		return fmt.Errorf("field fleet.dir: %w", err)
+	}
+	return nil
+}
+
+// most is how long an operator's question may take.
+const most = 15 * time.Second
+
+func ask(o *options.Options, a program.Ask) error {
+	keys, err := wire.ReadKeys(o.Fleet.Keys)
+	if err != nil {
+		return fmt.Errorf("options: field fleet.keys: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), most)
+	defer cancel()
+	desk := fleet.Desk{Council: seats(o), Keys: keys, World: fleet.Real()}
+	switch a.What {
+	case "leases":
+		seen, err := desk.Leases(ctx, a.From, a.Most)
+		if err != nil {
+			return err
+		}
+		if a.JSON {
+			return show(seen)
+		}
+		leases(seen)
+		return nil
+	case "replace":
+		return desk.Replace(ctx, fleet.Replace{Seat: a.Seat, With: a.With})
+	}
+	all, failed := desk.Statuses(ctx)
+	if a.JSON {
+		out := struct {
+			Brokers []fleet.Status    `json:"brokers"`
+			Failed  map[string]string `json:"failed,omitempty"`
+		}{all, map[string]string{}}
+		for name, err := range failed {
+			out.Failed[name] = err.Error()
+		}
+		if err := show(out); err != nil {
+			return err
+		}
+	} else {
+		table(all, failed)
+	}
+	if len(failed) > 0 {
+		return fmt.Errorf("%d of %d brokers of the council did not answer", len(failed), len(o.Fleet.Seats))
+	}
+	return nil
+}
+
+func show(v any) error {
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", "  ")
+	return out.Encode(v)
+}
+
+func table(all []fleet.Status, failed map[string]error) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "broker\tseat\tleader\tterm\tagreed\tsessions\tleases\tlast token")
+	for _, s := range all {
+		what := "none"
+		if s.Seat != nil {
+			switch {
+			case s.Seat.Failed != "":
+				what = "failed: " + s.Seat.Failed
+			case s.Seat.Blank:
+				what = "blank"
+			case s.Seat.Leading:
+				what = "leads"
+			default:
+				what = "follows"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\n", s.Broker, what, s.Seat.Lead, s.Seat.Term, s.Seat.Commit, s.Seat.Sessions, s.Seat.Held, s.Seat.Token)
+		} else {
+			fmt.Fprintf(w, "%s\t%s\n", s.Broker, what)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(failed)) {
+		fmt.Fprintf(w, "%s\tdoes not answer: %v\n", name, failed[name])
+	}
+	for _, s := range all {
+		if s.Seat != nil && s.Seat.Leading {
+			fmt.Fprintln(w, "\nseat of\tlistens at\tanswers\tlog\tdisk")
+			for _, o := range s.Seat.Seats {
+				what := fmt.Sprint(o.Active)
+				if o.Learner {
+					what += ", learns"
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%016x\n", o.Broker, o.Addr, what, o.Match, o.Disk)
+			}
+		}
+	}
+	w.Flush()
+}
+
+func leases(seen *council.Seen) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "lease\tplace\theld by\ttoken\tends in, unless renewed\twaiting")
+	for _, l := range seen.Leases {
+		for i, h := range l.Held {
+			line := ""
+			if i == 0 {
+				line = strings.Join(l.Line, ", ")
+			}
+			fmt.Fprintf(w, "%s\t%d of %d\t%s\t%d\t%.1f s\t%s\n", l.Name, h.Place+1, l.Places, h.Owner, h.Token, h.Left, line)
+		}
+		if len(l.Held) == 0 {
+			fmt.Fprintf(w, "%s\t-\t-\t-\t-\t%s\n", l.Name, strings.Join(l.Line, ", "))
+		}
+	}
+	w.Flush()
+}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -212,7 +212,9 @@
 	return NewSession("b", func() ID { n++; return id(n) }), founded(nil)
 }
 
-func (c *council) takes(at float64, call Call) Answer { return c.Apply(Command{At: at, Calls: []Call{call}})[0] }
+func (c *council) takes(at float64, call Call) Answer {
+	return c.Apply(Command{At: at, Calls: []Call{call}})[0]
+}
 
 // TestRightFromSending: a right counts from the sending whose answer comes, not from the answer and not from a later
 // sending that may never have arrived.
--- a/measure/flight/main.go
+++ b/measure/flight/main.go
@@ -52,7 +52,7 @@
 		}
 		code := 0
 		if *relayTo == "" {
-			code = program.Main("brackenflight", flag.Args(), withflight.Flight())
+			code = program.Main("brackenflight", flag.Args(), program.Extra{Flight: withflight.Flight()})
 		} else {
 			go serveRelay(strings.Split(*relayTo, ","))
 			end := make(chan os.Signal, 1)
