--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -72,19 +72,26 @@
 	lost  chan struct{} // closed when it is no longer held
 }
 
-// Until is when the right to act ends unless it is renewed, by World.Now.
-func (h *Held) Until() float64 { return math.Float64frombits(h.c.until.Load()) }
-
-// Valid is whether the holder may act at this moment. An act may still arrive later than that: Token is for this.
-func (h *Held) Valid() bool {
+// Until is when the right to act ends unless it is renewed, by World.Now; 0 once the lease is lost. The end is read
+// before the loss is looked for: the session renews what it still holds only after a loss has been told, so an end
+// that belongs to a later right is never taken for this one's, however long the caller stands still in between.
+func (h *Held) Until() float64 {
+	until := math.Float64frombits(h.c.until.Load())
 	select {
 	case <-h.lost:
-		return false
+		return 0
 	default:
-		return h.c.n.world.Now() < h.Until()
+		return until
 	}
 }
 
+// Valid is whether the holder may act at this moment: the clock is read last. An act may still arrive later than that:
+// Token is for this.
+func (h *Held) Valid() bool {
+	until := h.Until()
+	return h.c.n.world.Now() < until
+}
+
 // Lost is closed when the lease is lost or given back.
 func (h *Held) Lost() <-chan struct{} { return h.lost }
 
--- a/internal/fleetrig/body.go
+++ b/internal/fleetrig/body.go
@@ -160,6 +160,7 @@
 		if frozen.Add(1) == int64(o.Freeze) {
 			say(Claim{Note: "frozen"})
 			syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+			time.Sleep(100 * time.Millisecond) // the stop reaches this thread within
 		}
 		c.SetDeadline(time.Now().Add(time.Second))
 		if out.Encode(Act{turn.Name, turn.Token, turn.Place, o.Stated.Broker, n}) != nil {
