--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -239,9 +240,13 @@
 		t.Error("granted by a minority:", err)
 	}
 	f.start("b0", "b1")
-	if again := f.must("c0", "job"); again.Token <= h.Token {
+	again := f.must("c0", "job")
+	if again.Token <= h.Token || !again.Valid() {
 		t.Error("tokens", h.Token, again.Token)
 	}
+	if h.Valid() || h.Until() != 0 {
+		t.Error("what was lost is valid again, as the session is renewed")
+	}
 }
 
 // TestReplace: an operator gives a seat to another broker, under load.
@@ -362,6 +367,34 @@
 	t.Logf("released and granted anew in %v, ttl %v s", time.Since(from), scaled().TTL)
 }
 
+// TestReleasedAfter: a process that closes gives a lease back only once the task under it has ended.
+func TestReleasedAfter(t *testing.T) {
+	f := newTrio(t)
+	f.start("b0", "b1", "b2", "c0", "c1")
+	began := make(chan bool)
+	var ended atomic.Bool
+	go f.nodes["c0"].Act(t.Context(), Task{Name: "job", Wait: 20 * time.Second, Bound: 400 * time.Millisecond}, func(ctx context.Context, turn *Turn) error {
+		close(began)
+		<-ctx.Done()
+		time.Sleep(150 * time.Millisecond) // what it has begun
+		ended.Store(true)
+		return nil
+	})
+	<-began
+	got := make(chan bool)
+	n := f.nodes["c1"]
+	go func() {
+		if _, err := n.Acquire(t.Context(), "job", 1, 25*time.Second); err != nil {
+			t.Error(err)
+		}
+		got <- ended.Load()
+	}()
+	f.close("c0")
+	if !<-got {
+		t.Error("given on while the task still acted")
+	}
+}
+
 // TestKeys: a peer with another key is refused and counted; keys change in service without losing anybody.
 func TestKeys(t *testing.T) {
 	f := newTrio(t)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -76,6 +76,27 @@
 	}
 }
 
+// TestCalledTwice: a call that arrives again takes effect once, also when others have come in between.
+func TestCalledTwice(t *testing.T) {
+	c := founded(nil)
+	c.call(20, 1, acquire("x", 0))
+	c.numbers[id(1)]++
+	anew := Call{Session: id(1), Number: c.numbers[id(1)], Ops: []Op{release("x"), acquire("x", 10)}}
+	first := c.Apply(Command{At: 21, Calls: []Call{anew}})[0]
+	c.call(21, 2, acquire("x", 10))
+	again := c.Apply(Command{At: 22, Calls: []Call{anew}})[0]
+	if first.Results[1].Status != Granted || again.Results[1] != first.Results[1] || len(c.Told()) != 0 {
+		t.Errorf("answered %v and %v", first.Results, again.Results)
+	}
+	if l := c.Lease("x"); l.Held[0].Token != first.Results[1].Token {
+		t.Errorf("answered with token %d, the state has %+v", first.Results[1].Token, l)
+	}
+	c.call(23, 1)
+	if late := c.Apply(Command{At: 24, Calls: []Call{anew}})[0]; late.Status != Stale || c.Lease("x").Held[0].Owner != "b1" {
+		t.Errorf("a call from before the last one: %v", late)
+	}
+}
+
 // TestNotBefore: a session ends no sooner than its time by the council, and a founding grants nothing until the
 // holders of a council before it have lost their rights.
 func TestNotBefore(t *testing.T) {
