--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -441,6 +441,9 @@
 		return
 	}
 	c.do(c.session.End)
+	// Where no member can be told, as when the whole fleet ends, waiting longer gains less than the leases' own end.
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.n.stated.Terms.Right()/2*float64(time.Second)))
+	defer cancel()
 	wait(func() bool {
 		done := make(chan bool, 1)
 		if !c.do(func() { done <- c.session.Ended() }) {
--- a/internal/fleet/council/member.go
+++ b/internal/fleet/council/member.go
@@ -25,14 +25,15 @@
 	ElectionTicks = 10 // of Tick, before a member without a leader stands for election
 	mostMessage   = 1 << 20
 	mostInFlight  = 256
-	mostPending   = 64 << 20 // bytes of entries that are proposed and not agreed
-	mostBatch     = 4096     // operations in one entry
-	mostAsked     = 8192     // requests that wait for their entry
-	mostWatch     = 4096     // requests that wait for a lease to change
-	compactAfter  = 8192     // entries, or
-	compactBytes  = 4 << 20  // bytes of them, that a snapshot replaces
-	keepBehind    = 1024     // entries that stay for members which lag
-	closeBehind   = 64       // entries that a learner may lack to be given its vote
+	mostPending   = 64 << 20          // bytes of entries that are proposed and not agreed
+	mostBatch     = 4096              // operations in one entry
+	mostAsked     = 8192              // requests that wait for their entry
+	mostWatch     = 4096              // requests that wait for a lease to change
+	compactAfter  = 8192              // entries, or
+	compactBytes  = 4 << 20           // bytes of them, that a snapshot replaces
+	keepBehind    = 1024              // entries that stay for members which lag
+	silent        = 2 * ElectionTicks // of Tick, after which a seat that has said nothing counts as gone
+	closeBehind   = 64                // entries that a learner may lack to be given its vote
 )
 
 // Seat is a member as all know it: by its broker's name and where that listens.
@@ -115,6 +116,9 @@
 
 	compactAfter, keepBehind uint64
 
+	ticks   int
+	ledAt   int            // tick at which it began to lead
+	heard   map[uint64]int // tick at which each disk's last message came; the library's own record starts anew with each check
 	lead    uint64
 	leading bool    // leads, and has applied all that was agreed before
 	base    float64 // the council's time at
@@ -129,7 +133,7 @@
 
 // NewMember starts a seat from what its store holds.
 func NewMember(s *Store, logger raft.Logger) (*Member, error) {
-	m := &Member{id: s.Disk(), store: s, pending: map[uint64][]Request{}, compactAfter: compactAfter, keepBehind: keepBehind}
+	m := &Member{id: s.Disk(), store: s, pending: map[uint64][]Request{}, heard: map[uint64]int{}, compactAfter: compactAfter, keepBehind: keepBehind}
 	snap, err := s.Snapshot()
 	if err != nil {
 		return nil, err
@@ -204,11 +208,18 @@
 	if raft.IsLocalMsg(msg.GetType()) || msg.GetTo() != m.id || msg.GetType() == pb.MessageType_MsgProp {
 		return
 	}
+	m.heard[msg.GetFrom()] = m.ticks
 	m.node.Step(msg) // what it refuses is as good as lost
 }
 
 // Tick is one unit of elections' time. Nothing safe depends on how long it is.
-func (m *Member) Tick() { m.node.Tick() }
+func (m *Member) Tick() {
+	m.ticks++
+	if m.ticks%ElectionTicks == 0 { // disks that have gone are forgotten
+		maps.DeleteFunc(m.heard, func(_ uint64, at int) bool { return m.ticks-at > silent })
+	}
+	m.node.Tick()
+}
 
 // Unreachable says that messages to a member are not getting through, Sent what became of a snapshot to it.
 func (m *Member) Unreachable(id uint64) { m.node.ReportUnreachable(id) }
@@ -344,6 +355,7 @@
 	if len(e.GetData()) == 0 { // a leader's first entry: all agreed before it is carried out
 		if b.RaftState == raft.StateLeader && e.GetTerm() == b.GetTerm() {
 			m.leading, m.base, m.read, m.elapsed = true, m.state.Now(), now, m.state.Now()
+			m.ledAt = m.ticks
 		}
 		return nil
 	}
@@ -421,6 +433,9 @@
 	if i < 0 {
 		return errors.New("council: the seat to be replaced is not one")
 	}
+	if m.ticks-m.ledAt <= silent {
+		return errors.New("council: the leader is new and has not heard of all seats yet")
+	}
 	if m.active(instead) && m.seats[i].Broker == s.Broker {
 		return errors.New("council: the seat's disk still answers: two processes of one name?")
 	}
@@ -450,7 +465,7 @@
 		return errors.New("council: no such learner")
 	}
 	p, ok := m.node.Status().Progress[disk]
-	if _, commit, _ := m.Progress(); !ok || !p.RecentActive || p.Match == 0 || p.Match+closeBehind < commit {
+	if _, commit, _ := m.Progress(); !ok || !m.active(disk) || p.Match == 0 || p.Match+closeBehind < commit {
 		return errors.New("council: the learner has not caught up")
 	}
 	seats := slices.Clone(m.seats)
@@ -471,8 +486,8 @@
 }
 
 func (m *Member) active(disk uint64) bool {
-	p, ok := m.node.Status().Progress[disk]
-	return ok && (p.RecentActive || disk == m.id)
+	at, ok := m.heard[disk]
+	return disk == m.id || ok && m.ticks-at <= silent
 }
 
 // Heard says of each seat whether it has answered this leader lately, and how far its log goes.
@@ -480,7 +495,7 @@
 	all := map[uint64]Heard{}
 	if _, leading := m.Lead(); leading {
 		for id, p := range m.node.Status().Progress {
-			all[id] = Heard{p.RecentActive || id == m.id, p.Match}
+			all[id] = Heard{m.active(id), p.Match}
 		}
 	}
 	return all
