--- a/internal/fleetrig/figures.go
+++ b/internal/fleetrig/figures.go
@@ -100,16 +100,19 @@
 	return f.all[slices.IndexFunc(f.all, func(o *process) bool { return o.name == who })]
 }
 
-// lead asks the council who leads it.
-func (f *playing) lead(ctx context.Context) (lead *process) {
-	keys, err := wire.ReadKeys(f.all[0].orders.Stated.Keys)
-	if err != nil {
-		return nil
-	}
-	d := fleet.Desk{Keys: keys, World: fleet.Real()}
+// desk asks the council for the rig.
+func (f *playing) desk() fleet.Desk {
+	d := fleet.Desk{World: fleet.Real()}
+	d.Keys, _ = wire.ReadKeys(f.all[0].orders.Stated.Keys) // build has just written them
 	for _, o := range f.all[:f.Seats] {
 		d.Council = append(d.Council, fleet.Named{Broker: o.name, Addr: o.addr})
 	}
+	return d
+}
+
+// lead asks the council who leads it.
+func (f *playing) lead(ctx context.Context) (lead *process) {
+	d := f.desk()
 	f.wait(ctx, func() bool {
 		all, _ := d.Statuses(ctx)
 		for _, s := range all {
--- a/measure/leases.sh
+++ b/measure/leases.sh
@@ -4,10 +4,10 @@
 #   measure/leases.sh [--quick] [--seed N] [--runs K]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-seed=1000 runs=200 worlds=10000
+seed=1000 runs=200 worlds=10000 changes=1000000
 while [ $# -gt 0 ]; do
 	case "$1" in
-	--quick) runs=6 worlds=200 ;;
+	--quick) runs=6 worlds=200 changes=20000 ;;
 	--seed) seed=$2; shift ;;
 	--runs) runs=$2; shift ;;
 	*) echo "usage: measure/leases.sh [--quick] [--seed N] [--runs K]" >&2; exit 2 ;;
@@ -36,4 +36,4 @@
 echo "== what a renewal costs"
 go test -run - -bench . ./lease ./internal/fleet/wire | grep Benchmark
 echo "== real processes"
-"$bin/leases" -seed "$seed" -runs "$runs" -lanes $(( lanes > 4 ? lanes - 2 : 2 ))
+"$bin/leases" -seed "$seed" -runs "$runs" -changes "$changes" -lanes $(( lanes > 4 ? lanes - 2 : 2 ))
--- a/measure/leases/main.go
+++ b/measure/leases/main.go
@@ -22,6 +22,9 @@
 	lanes := flag.Int("lanes", 4, "schedules at once")
 	faults := flag.Int("faults", 10, "in each")
 	kept := flag.String("kept", "", "folder for the logs of runs that fail")
+	load := flag.Bool("load", false, "measure the load on one council alone")
+	sessions := flag.Int("sessions", 300, "on one council")
+	changes := flag.Int("changes", 1_000_000, "of leases")
 	flag.Parse()
 	ok := true
 	must := func(holds bool, what, figure, aim string) {
@@ -33,6 +36,10 @@
 	}
 	fmt.Printf("%-58s %-34s %-30s\n", "figure", "measured", "must")
 
+	if *load {
+		press(*sessions, *changes, must)
+		return
+	}
 	type total struct{ bad, rights, acts, grants, count, low int }
 	play := func(p fleetrig.Play, n int) (t total, back []float64) {
 		var mu sync.Mutex
@@ -101,7 +108,25 @@
 		must(f.Moved.P99 <= bound, "a dead holder's lease moves (ttl "+fmt.Sprint(ttl)+" s)", f.Moved.String(), fmt.Sprintf("aim: p99 at most %.3f s", bound))
 		must(f.Led.P99 <= bound, "a dead leader is replaced, and grants", f.Led.String(), fmt.Sprintf("aim: p99 at most %.3f s", bound))
 	}
+	press(*sessions, *changes, must)
 	if !ok {
 		os.Exit(1)
 	}
 }
+
+func press(sessions, changes int, must func(bool, string, string, string)) {
+	l, err := fleetrig.Press(context.Background(), sessions, changes)
+	if err != nil {
+		must(false, "load", err.Error(), "")
+	} else {
+		row := func(what, format string, args ...any) {
+			fmt.Printf("%-58s %-34s\n", what, fmt.Sprintf(format, args...))
+		}
+		row(fmt.Sprintf("%d sessions, each a lease (ttl 6 s)", l.Sessions), "%.2f s until all hold", l.Held.Seconds())
+		row("their renewals", "%.0f a second; %.3f ms CPU, %.2f syncs each", l.Renewals, l.CPU, l.Syncs)
+		row("the whole council starts anew under them", "%.2f s until all are served", l.Back.Seconds())
+		row(fmt.Sprintf("%d changes of leases", l.Changes), "%.0f a second", l.Rate)
+		row("after them, the leader", "%.1f MB of disk, %.1f MB resident", float64(l.Disk)/(1<<20), float64(l.Memory)/(1<<20))
+		row("its new start", "%.2f s until it follows again", l.Restart.Seconds())
+	}
+}
