A report on the whole fleet, made by one broker at a time under a lease, whole or not at all

Whoever holds the lease asks the council which processes have a session and each of these for its counters, and writes one file with its token; an older one never takes a newer one's place. Every process keeps a session from its start, so that the council knows of it. Also: fleet.report, fleet.report_s. Test: three brokers and one that does not listen, the maker's end.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -59,7 +59,9 @@
 
 func (n *Node) newClient() *client {
 	draw := func() (id lease.ID) { n.world.Random(id[:]); return id }
-	return &client{n: n, session: lease.NewSession(n.stated.Broker, draw), inbox: make(chan func(), inboxed),
+	s := lease.NewSession(n.stated.Broker, n.stated.Listen, draw)
+	s.Stay()
+	return &client{n: n, session: s, inbox: make(chan func(), inboxed),
 		over: make(chan struct{}), asks: map[string]*asker{}, held: map[string]*Held{}}
 }
 
--- a/internal/fleet/council/member.go
+++ b/internal/fleet/council/member.go
@@ -71,12 +71,16 @@
 	Most  int      `cbor:"2,keyasint,omitempty"`
 	Watch bool     `cbor:"3,keyasint,omitempty"` // only the lease From, and not before its holders are others than
 	Known []uint64 `cbor:"4,keyasint,omitempty"` // those with these tokens
+
+	Brokers bool `cbor:"5,keyasint,omitempty"` // the processes that have a session instead
 }
 
 // Seen answers a Look.
 type Seen struct {
 	Now    float64       `cbor:"1,keyasint" json:"now"`
 	Leases []lease.Lease `cbor:"2,keyasint" json:"leases"`
+
+	Brokers []lease.Broker `cbor:"3,keyasint,omitempty" json:"brokers,omitempty"`
 }
 
 // Reply is what became of a request.
@@ -379,13 +383,18 @@
 		case r.Look.Watch:
 			m.out.Replies = append(m.out.Replies, Reply{Handle: r.Handle, Err: ErrBusy})
 		default:
-			m.out.Replies = append(m.out.Replies, Reply{Handle: r.Handle,
-				Seen: &Seen{m.state.Now(), m.state.Leases(r.Look.From, r.Look.Most)}})
+			seen := &Seen{Now: m.state.Now()}
+			if r.Look.Brokers {
+				seen.Brokers = m.state.Brokers()
+			} else {
+				seen.Leases = m.state.Leases(r.Look.From, r.Look.Most)
+			}
+			m.out.Replies = append(m.out.Replies, Reply{Handle: r.Handle, Seen: seen})
 		}
 	}
 	m.watch = slices.DeleteFunc(m.watch, func(r Request) bool {
 		if l := m.state.Lease(r.Look.From); !slices.EqualFunc(l.Held, r.Look.Known, func(h lease.Holder, t uint64) bool { return h.Token == t }) {
-			m.out.Replies = append(m.out.Replies, Reply{Handle: r.Handle, Seen: &Seen{m.state.Now(), []lease.Lease{l}}})
+			m.out.Replies = append(m.out.Replies, Reply{Handle: r.Handle, Seen: &Seen{Now: m.state.Now(), Leases: []lease.Lease{l}}})
 			return true
 		}
 		return false
--- a/internal/fleet/council/worlds_test.go
+++ b/internal/fleet/council/worlds_test.go
@@ -215,7 +215,7 @@
 		w.start(i)
 	}
 	for i := range k {
-		w.clients = append(w.clients, lease.NewSession(fmt.Sprint("c", i), w.draw))
+		w.clients = append(w.clients, lease.NewSession(fmt.Sprint("c", i), "", w.draw))
 		w.toward = append(w.toward, int(w.rnd.Next()*float64(n)))
 		w.after(w.rnd.Next(), n+i, func() { w.want(i) })
 		w.after(w.rnd.Next()*0.1, n+i, func() { w.client(i, false) })
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -30,6 +30,10 @@
 	Founding uint32  // counts the councils that were founded with these brokers; above 0
 	Terms    lease.Terms
 	Tick     time.Duration // a tenth of the least time until a leader is replaced
+
+	Report   string                  // file that a report on the whole fleet goes to, where this broker makes it; empty for none
+	Every    time.Duration           // how often
+	Counters func() map[string]int64 `json:"-"` // this broker's own, for it; asked from any goroutine
 }
 
 // Seated is whether this broker is one of the council.
@@ -98,6 +102,9 @@
 	}
 	n.client = n.newClient()
 	n.all.Go(func() { n.client.run(ctx) })
+	if s.Report != "" {
+		n.all.Go(func() { n.report(ctx) })
+	}
 	return n, nil
 }
 
@@ -148,6 +155,14 @@
 	return c
 }
 
+// tell gives this broker's counters.
+func (n *Node) tell() map[string]int64 {
+	if n.stated.Counters == nil {
+		return map[string]int64{}
+	}
+	return n.stated.Counters()
+}
+
 func (n *Node) hello(k wire.Kind) wire.Hello {
 	h := wire.Hello{Kind: k, Broker: n.stated.Broker, Process: n.process, Addr: n.stated.Listen}
 	if n.seat != nil {
@@ -264,6 +279,7 @@
 	Look    *council.Look `cbor:"3,keyasint,omitempty"`
 	Status  bool          `cbor:"4,keyasint,omitempty"`
 	Replace *Replace      `cbor:"5,keyasint,omitempty"`
+	Tell    bool          `cbor:"6,keyasint,omitempty"` // the broker's own counters
 }
 
 // Replace asks that a broker's seat goes to another broker, which runs with a blank disk and this council stated.
@@ -281,6 +297,8 @@
 	Err    string        `cbor:"5,keyasint,omitempty"`
 	Lead   string        `cbor:"6,keyasint,omitempty"` // broker to ask instead, and
 	Addr   string        `cbor:"7,keyasint,omitempty"` // where it says that it listens
+
+	Counters map[string]int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // caller is a client's connection, on the side that answers.
@@ -339,6 +357,8 @@
 			return wire.ErrBad
 		}
 		switch {
+		case q.Tell:
+			me.tell(answered{Handle: q.Handle, Counters: n.tell()})
 		case n.seat == nil && q.Status:
 			me.tell(answered{Handle: q.Handle, Status: n.Status()})
 		case n.seat == nil:
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -446,3 +447,52 @@
 		t.Error(seen, err)
 	}
 }
+
+// TestReport: one broker writes the report on all of them, whole; another takes over when it ends, under a higher token;
+// who cannot be asked is named; an older report never takes a newer one's place.
+func TestReport(t *testing.T) {
+	f := newTrio(t)
+	path := filepath.Join(f.dir, "report.json")
+	read := func() (r Report) {
+		if raw, err := os.ReadFile(path); err == nil {
+			if err := json.Unmarshal(raw, &r); err != nil {
+				t.Fatalf("half a report: %v\n%s", err, raw)
+			}
+		}
+		return r
+	}
+	begin := func(name string, taken int64, reports bool) {
+		s := f.stated(name)
+		s.Counters = func() map[string]int64 { return map[string]int64{"taken": taken} }
+		if reports {
+			s.Report, s.Every = path, 10*time.Millisecond
+		}
+		n, err := Start(s, f.world, quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.nodes[name] = n
+	}
+	begin("b0", 1, false)
+	begin("b1", 10, true)
+	begin("b2", 100, true)
+	begin("c0", 1000, false) // does not listen
+	f.must("c0", "something")
+	until(t, "a report on all", func() bool { r := read(); return r.Asked == 4 && r.Heard == 3 && r.Sums["taken"] == 111 })
+	first := read()
+	if i := slices.IndexFunc(first.Brokers, func(b Reported) bool { return b.Broker == "c0" }); i < 0 || first.Brokers[i].Failed == "" {
+		t.Errorf("%+v", first)
+	}
+	f.close(first.By)
+	until(t, "another's report", func() bool { r := read(); return r.By != first.By && r.Token > first.Token && r.Heard >= 2 })
+	if left, _ := filepath.Glob(filepath.Join(f.dir, ".report*")); len(left) > 1 { // one may be in hand
+		t.Error("left over:", left)
+	}
+	old := Report{Token: first.Token}
+	if err := old.write(path); err == nil {
+		t.Error("an older report was written over a newer one")
+	}
+	if err := (&Report{Token: 1 << 60}).write(filepath.Join(f.dir, "none", "x")); err == nil {
+		t.Error("written to no folder")
+	}
+}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -11,6 +11,7 @@
 
 	"brackenfront/internal/fleet/council"
 	"brackenfront/internal/fleet/wire"
+	"brackenfront/lease"
 )
 
 // Status is what one broker knows of the fleet at a moment.
@@ -192,6 +193,21 @@
 	return a.Seen, nil
 }
 
+// Brokers asks the council which processes have a session.
+func (d Desk) Brokers(ctx context.Context) ([]lease.Broker, error) {
+	a, err := d.lead(ctx, question{Look: &council.Look{Brokers: true}})
+	if err != nil {
+		return nil, err
+	}
+	return a.Seen.Brokers, nil
+}
+
+// Counters asks one broker for its own.
+func (d Desk) Counters(ctx context.Context, addr string) (map[string]int64, error) {
+	a, err := d.one(ctx, addr, question{Tell: true})
+	return a.Counters, err
+}
+
 // Watch waits until a lease is held by others than those with the known tokens, or ctx ends.
 func (d Desk) Watch(ctx context.Context, name string, known []uint64) (*council.Seen, error) {
 	a, err := d.lead(ctx, question{Look: &council.Look{From: name, Watch: true, Known: known}})
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -48,6 +48,8 @@
 		TTLMS    int    // of a lease
 		Drift    int    // how far clocks may be off, in thousandths
 		TickMS   int    // a tenth of the least time until a leader is replaced
+		Report   string // file of a report on the whole fleet, where this broker makes it
+		ReportS  int    // seconds between two
 		Seats    []Seat // Council, read; none: the fleet is off
 		Terms    lease.Terms
 	}
@@ -95,6 +97,8 @@
 		func(o *Options) *string { return &o.Fleet.Listen }, address),
 	text("fleet.keys", "the name of a file", false, func(o *Options) *string { return &o.Fleet.Keys }, any4096),
 	text("fleet.dir", "the name of a folder", false, func(o *Options) *string { return &o.Fleet.Dir }, any4096),
+	text("fleet.report", "the name of a file, or \"\" for none", false, func(o *Options) *string { return &o.Fleet.Report }, any4096),
+	number("fleet.report_s", 1, 86_400, func(o *Options) *int { return &o.Fleet.ReportS }),
 	number("fleet.founding", 1, 1<<20, func(o *Options) *int { return &o.Fleet.Founding }),
 	number("fleet.ttl_ms", 400, 3_600_000, func(o *Options) *int { return &o.Fleet.TTLMS }),
 	number("fleet.drift_permille", 1, 200, func(o *Options) *int { return &o.Fleet.Drift }),
@@ -159,6 +163,9 @@
 		if f.Broker != "" {
 			say("council", "got none, expected 3, 5 or 7 brokers as fleet.broker is %q", f.Broker)
 		}
+		if f.Report != "" {
+			say("council", "got none, expected 3, 5 or 7 brokers as fleet.report is %q", f.Report)
+		}
 		return wrong
 	} else if n != 3 && n != 5 && n != 7 {
 		say("council", "got %d brokers, expected 3, 5 or 7: an even number bears no more losses than one less", n)
@@ -258,6 +265,7 @@
 	o.Flight.HeldMB, o.Flight.PartMB, o.Flight.Streams, o.Flight.Conns = 32, 16, 64, 64
 	o.Halls.Spill, o.Halls.WaitMS, o.Halls.LongestMS, o.Halls.ForgetMS = 80, 2000, 60_000, 60_000
 	o.Fleet.Founding, o.Fleet.TTLMS, o.Fleet.Drift, o.Fleet.TickMS = 1, 10_000, 10, 100
+	o.Fleet.ReportS = 60
 	o.Log.Level, o.Log.Format = "info", "text"
 	var wrong []error
 	put := func(name string, v any, from string) {
--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -43,3 +43,11 @@
 	log.WithFields(logrus.Fields{"watches": d.Watches, "words": d.Words, "entries": d.Entries, "broken": d.Broken,
 		"lists": c.Lists, "restated": c.Restated}).Info("counters: discovery")
 }
+
+// tally is this broker's part of a report on the whole fleet: counts that add up.
+func tally(r *routing.Router, t *routing.Tripper) map[string]int64 {
+	c := r.Counts()
+	return map[string]int64{"taken": int64(c.Taken), "answered": int64(c.Answered), "partial": int64(c.Partial), "shed": int64(c.Shed),
+		"errored": int64(c.Errored), "gone": int64(c.Gone), "inhand": int64(c.InHand), "full": int64(c.Full), "twice": int64(c.Twice),
+		"bad": int64(t.Bad()), "sent": int64(c.Sent), "out": int64(c.Out)}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -37,9 +37,9 @@
 
 // Fleet is what a program adds that takes part in a fleet: docs/fleet.md.
 type Fleet struct {
-	Check func(o *options.Options) error // of what the options name: keys, a folder
-	Start func(o *options.Options, log *logrus.Logger) (Party, error)
-	Ask   func(o *options.Options, a Ask) error // an operator's command; prints
+	Check func(o *options.Options) error                                                           // of what the options name: keys, a folder
+	Start func(o *options.Options, own func() map[string]int64, log *logrus.Logger) (Party, error) // own: this broker's counters
+	Ask   func(o *options.Options, a Ask) error                                                    // an operator's command; prints
 }
 
 // Party is this process's part in the fleet. Searches never wait for it.
@@ -334,7 +334,7 @@
 
 	var party Party
 	if len(chosen.Fleet.Seats) > 0 {
-		if party, err = extra.Fleet.Start(chosen, log); err != nil {
+		if party, err = extra.Fleet.Start(chosen, func() map[string]int64 { return tally(router, tripper) }, log); err != nil {
 			return err
 		}
 		log.WithField("broker", chosen.Fleet.Broker).WithField("listen", party.Addr()).Info("in the fleet")
--- a/internal/program/withfleet/withfleet.go
+++ b/internal/program/withfleet/withfleet.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -23,15 +25,17 @@
 
 // Fleet adds leases and what stands on them.
 func Fleet() *program.Fleet {
-	return &program.Fleet{Check: check, Start: func(o *options.Options, log *logrus.Logger) (program.Party, error) {
-		return fleet.Start(stated(o), fleet.Real(), log)
+	return &program.Fleet{Check: check, Start: func(o *options.Options, own func() map[string]int64, log *logrus.Logger) (program.Party, error) {
+		s := stated(o)
+		s.Counters = own
+		return fleet.Start(s, fleet.Real(), log)
 	}, Ask: ask}
 }
 
 func stated(o *options.Options) fleet.Stated {
 	f := &o.Fleet
 	return fleet.Stated{Broker: f.Broker, Listen: f.Listen, Keys: f.Keys, Dir: f.Dir, Council: seats(o), Founding: uint32(f.Founding),
-		Terms: f.Terms, Tick: time.Duration(f.TickMS) * time.Millisecond}
+		Terms: f.Terms, Tick: time.Duration(f.TickMS) * time.Millisecond, Report: f.Report, Every: time.Duration(f.ReportS) * time.Second}
 }
 
 func seats(o *options.Options) (all []fleet.Named) {
@@ -46,20 +50,27 @@
 	if _, err := wire.ReadKeys(o.Fleet.Keys); err != nil {
 		return fmt.Errorf("field fleet.keys: %w", err)
 	}
-	if !stated(o).Seated() {
-		return nil
-	}
-	f, err := os.CreateTemp(o.Fleet.Dir, ".probe")
-	if err != nil {
-		return fmt.Errorf("field fleet.dir: expected a folder that can be written: %w", err)
+	if o.Fleet.Report != "" {
+		if err := writable(filepath.Dir(o.Fleet.Report)); err != nil {
+			return fmt.Errorf("field fleet.report: expected a file in a folder that can be written: %w", err)
+		}
 	}
-	f.Close()
-	if err := os.Remove(f.Name()); err != nil {
-		return fmt.Errorf("field fleet.dir: %w", err)
+	if stated(o).Seated() {
+		if err := writable(o.Fleet.Dir); err != nil {
+			return fmt.Errorf("field fleet.dir: expected a folder that can be written: %w", err)
+		}
 	}
 	return nil
 }
 
+func writable(dir string) error {
+	f, err := os.CreateTemp(dir, ".probe")
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Close(), os.Remove(f.Name()))
+}
+
 // most is how long an operator's question may take.
 const most = 15 * time.Second
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -113,6 +113,7 @@
 	Attempt uint64 `cbor:"5,keyasint,omitempty"` // echoed: tells the sender which sending took effect
 	End     bool   `cbor:"6,keyasint,omitempty"` // the session is over: all it holds is free
 	Ops     []Op   `cbor:"7,keyasint,omitempty"`
+	Addr    string `cbor:"8,keyasint,omitempty"` // where the process listens for the fleet, said when the session opens
 }
 
 // Status is what became of an operation or a call.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -230,7 +230,7 @@
 // pair is a Session and the council it speaks to, at will.
 func pair(t *testing.T) (*Session, *council) {
 	n := 100
-	return NewSession("b", func() ID { n++; return id(n) }), founded(nil)
+	return NewSession("b", "", func() ID { n++; return id(n) }), founded(nil)
 }
 
 func (c *council) takes(at float64, call Call) Answer {
--- a/lease/session.go
+++ b/lease/session.go
@@ -22,6 +22,7 @@
 type Session struct {
 	id    ID
 	owner string
+	addr  string
 	draw  func() ID // ids of further sessions, after one is lost
 	terms Terms     // from the council; 0 before it has answered
 
@@ -39,6 +40,7 @@
 	events []Event
 	ending bool // nothing more is asked for
 	over   bool // and the council knows
+	stay   bool // open though nothing is asked
 
 	pace Pace
 }
@@ -73,11 +75,14 @@
 	hope     = 1.0  // seconds between sendings before terms are known
 )
 
-// NewSession makes a process's side. draw gives ids by chance, never the same twice.
-func NewSession(owner string, draw func() ID) *Session {
-	return &Session{id: draw(), owner: owner, draw: draw, wants: map[string]*want{}}
+// NewSession makes the side of a process that listens for the fleet at addr, if anywhere. draw gives ids by chance, never the same twice.
+func NewSession(owner, addr string, draw func() ID) *Session {
+	return &Session{id: draw(), owner: owner, addr: addr, draw: draw, wants: map[string]*want{}}
 }
 
+// Stay keeps the session open though nothing is asked for, so that the council knows of this process.
+func (s *Session) Stay() { s.stay = true }
+
 // ID is the session's. It changes when the council has forgotten it.
 func (s *Session) ID() ID { return s.id }
 
@@ -150,13 +155,13 @@
 	}
 	if s.out == nil {
 		switch {
-		case len(s.ops) > 0 || s.number > 0 && now >= s.renew:
+		case len(s.ops) > 0 || (s.number > 0 || s.stay) && now >= s.renew:
 			s.number++
 			n := min(len(s.ops), MostOps)
 			s.out = &Call{Session: s.id, Number: s.number, Ops: slices.Clone(s.ops[:n]), Seen: s.seen}
 			s.ops = slices.Delete(s.ops, 0, n)
 			if s.number == 1 {
-				s.out.Owner = s.owner
+				s.out.Owner, s.out.Addr = s.owner, s.addr
 			}
 		default:
 			return Call{}, false
@@ -191,7 +196,7 @@
 		due = s.again
 	case len(s.ops) > 0:
 		due = 0
-	case s.number > 0:
+	case s.number > 0 || s.stay:
 		due = s.renew
 	}
 	if s.right.until > 0 && s.holding() {
@@ -317,7 +322,7 @@
 // lost begins a new session: the council has ended this one. Whatever was asked for and is not held is asked again.
 func (s *Session) lost() {
 	s.id, s.number, s.out, s.seen, s.ops = s.draw(), 0, nil, 0, nil
-	s.right, s.tries, s.pace = Right{}, s.tries[:0], Pace{}
+	s.right, s.renew, s.tries, s.pace = Right{}, 0, s.tries[:0], Pace{}
 	all := make([]string, 0, len(s.wants))
 	for n := range s.wants {
 		all = append(all, n)
--- a/lease/state.go
+++ b/lease/state.go
@@ -30,6 +30,7 @@
 	Results []Result `cbor:"5,keyasint,omitempty"`
 	News    []Grant  `cbor:"6,keyasint,omitempty"`
 	Names   []string `cbor:"7,keyasint,omitempty"` // held or waited for
+	Addr    string   `cbor:"8,keyasint,omitempty"`
 }
 
 // line is one lease.
@@ -96,7 +97,7 @@
 
 func (s *State) call(c *Call) Answer {
 	a := Answer{Session: c.Session, Number: c.Number, Attempt: c.Attempt, Status: Done, Now: s.now}
-	if len(c.Ops) > MostOps || len(c.Owner) > mostName || c.Number == 0 {
+	if len(c.Ops) > MostOps || len(c.Owner) > mostName || len(c.Addr) > mostName || c.Number == 0 {
 		a.Status = Bad
 		return a
 	}
@@ -106,7 +107,7 @@
 			a.Status = Full
 			return a
 		}
-		p = &session{ID: c.Session, Owner: c.Owner}
+		p = &session{ID: c.Session, Owner: c.Owner, Addr: c.Addr}
 		s.sessions, s.byID[p.ID] = append(s.sessions, p), p
 	}
 	switch {
@@ -321,6 +322,22 @@
 	return o
 }
 
+// Broker is one process with a session.
+type Broker struct {
+	Owner string  `cbor:"1,keyasint" json:"broker"`
+	Addr  string  `cbor:"2,keyasint,omitempty" json:"addr,omitempty"`
+	Left  float64 `cbor:"3,keyasint" json:"left"` // seconds until its session ends unless it renews
+}
+
+// Brokers lists the sessions, in the order they were opened.
+func (s *State) Brokers() []Broker {
+	all := make([]Broker, 0, len(s.sessions))
+	for _, p := range s.sessions {
+		all = append(all, Broker{p.Owner, p.Addr, p.Until - s.now})
+	}
+	return all
+}
+
 // image is the state as it is kept and sent.
 type image struct {
 	Terms    Terms      `cbor:"1,keyasint"`
