--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 
+	"brackenfront/internal/fleet/council"
 	"brackenfront/internal/fleet/wire"
 	"brackenfront/lease"
 )
@@ -221,6 +222,31 @@
 	}
 }
 
+// TestFoundedOnce: the broker that founds councils loses its disk: it joins the one there is, and founds none beside it.
+func TestFoundedOnce(t *testing.T) {
+	f := newTrio(t)
+	f.start("b0", "b1", "b2", "c0")
+	h := f.must("c0", "job")
+	f.close("b0")
+	if err := os.RemoveAll(filepath.Join(f.dir, "b0")); err != nil {
+		t.Fatal(err)
+	}
+	f.start("b0")
+	until(t, "it belongs to a council", func() bool { return !f.nodes["b0"].Status().Seat.Blank })
+	seats := f.nodes["b0"].seat.member.Seats
+	until(t, "with the others, by its new disk", func() bool {
+		got := make(chan []council.Seat)
+		f.nodes["b0"].seat.do(t.Context(), func() { got <- slices.Clone(seats()) })
+		return len(<-got) >= 3
+	})
+	if st := f.nodes["b0"].Status().Seat; st.Applied < 3 {
+		t.Errorf("a council of its own: %+v", st)
+	}
+	if next := f.must("c0", "next"); next.Token <= h.Token || !h.Valid() {
+		t.Error("tokens", h.Token, next.Token, "valid", h.Valid())
+	}
+}
+
 // TestCouncilGone: without a majority holders lose their right by their own clock, and nothing is granted; once it is
 // back, the same leases go on under new tokens.
 func TestCouncilGone(t *testing.T) {
