Fleet: hard cases one by one; a disk that was retired speaks again

Seen: TestOldInPlace, a seat's file overwritten in place by an old copy: refused by the others and put aside, but then never heard of again. Cause: what it started anew hung on the life of the connection that had brought the refusal, which it ended itself (seat.go, retire); it hangs on the seat's now.

--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -35,6 +35,7 @@
 	news   map[lease.ID]*caller
 	ticks  int
 	lead   uint64
+	life   context.Context // the seat's: what it starts goes on beyond the connection that was the reason
 
 	mu     sync.Mutex // for what other goroutines say of it
 	intro  wire.Hello
@@ -154,7 +155,8 @@
 	defer tick.Stop()
 	due := time.NewTimer(time.Hour)
 	defer due.Stop()
-	s.reseat(ctx)
+	s.life = ctx
+	s.reseat()
 	for {
 		select {
 		case f := <-s.inbox:
@@ -181,7 +183,7 @@
 		if err != nil {
 			return err
 		}
-		s.deliver(ctx, out)
+		s.deliver(out)
 		s.member.Clear()
 		s.say()
 		wait := time.Hour
@@ -192,7 +194,7 @@
 	}
 }
 
-func (s *seat) deliver(ctx context.Context, out *council.Out) {
+func (s *seat) deliver(out *council.Out) {
 	for _, m := range out.Messages {
 		if p := s.byDisk(m.GetTo()); p != nil {
 			raw, err := proto.Marshal(m)
@@ -224,7 +226,7 @@
 		}
 	}
 	if out.Changed {
-		s.reseat(ctx)
+		s.reseat()
 		if out.Lead != s.lead {
 			s.lead = out.Lead
 			name, _ := s.leader()
@@ -260,7 +262,7 @@
 }
 
 // reseat has a peer for every other broker of the council, as the operator names them or the council has agreed.
-func (s *seat) reseat(ctx context.Context) {
+func (s *seat) reseat() {
 	want := map[string]string{}
 	for _, o := range s.member.Seats() {
 		want[o.Broker] = o.Addr
@@ -282,7 +284,7 @@
 	}
 	for name, addr := range want {
 		if s.peers[name] == nil {
-			s.peers[name] = s.newPeer(ctx, name, addr)
+			s.peers[name] = s.newPeer(s.life, name, addr)
 		}
 	}
 }
@@ -294,7 +296,7 @@
 			delete(s.heard, theirs.Broker)
 		}
 	})
-	if !s.do(ctx, func() { s.met(ctx, c, theirs) }) {
+	if !s.do(ctx, func() { s.met(c, theirs) }) {
 		return nil
 	}
 	for {
@@ -348,7 +350,7 @@
 }
 
 // met notes a broker that says hello as a peer.
-func (s *seat) met(ctx context.Context, c *wire.Conn, theirs wire.Hello) {
+func (s *seat) met(c *wire.Conn, theirs wire.Hello) {
 	if theirs.Disk == 0 || theirs.Broker == s.n.stated.Broker {
 		s.n.count("two of one name")
 		s.n.log.WithField("broker", theirs.Broker).Error("fleet: another process says that it is this broker")
@@ -362,7 +364,7 @@
 		s.n.count("two of one name")
 	}
 	s.heard[theirs.Broker] = &heard{Hello: theirs, told: -1000}
-	s.reseat(ctx)
+	s.reseat()
 }
 
 // steer founds a council where none has been, tells its founding to those who have not heard it, and takes in new
@@ -460,7 +462,7 @@
 }
 
 // retire puts a disk aside that others have known further on, and begins with a new one.
-func (s *seat) retire(ctx context.Context, disk uint64) {
+func (s *seat) retire(disk uint64) {
 	if s.store.Disk() != disk {
 		return
 	}
@@ -479,7 +481,7 @@
 		p.stop()
 		delete(s.peers, name)
 	}
-	s.reseat(ctx)
+	s.reseat()
 }
 
 // asked takes a client's question.
@@ -660,7 +662,7 @@
 				return
 			}
 			if kind == frameOld {
-				p.s.do(ctx, func() { p.s.retire(ctx, disk) })
+				p.s.do(ctx, func() { p.s.retire(disk) })
 			}
 		}
 	})
