--- a/internal/fleet/hard_test.go
+++ b/internal/fleet/hard_test.go
@@ -15,16 +15,7 @@
 func (f *trio) vanish(name string) {
 	n := f.nodes[name]
 	delete(f.nodes, name)
-	n.stop()
-	if n.ln != nil {
-		n.ln.Close()
-	}
-	n.mu.Lock()
-	for c := range n.conns {
-		c.Close()
-	}
-	n.mu.Unlock()
-	n.all.Wait()
+	n.leave()
 }
 
 // TestOldInPlace: a seat's file is overwritten in place by an old copy of itself, so that it looks like the disk it was.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -126,6 +126,11 @@
 	if n.seat != nil {
 		n.seat.close(ctx)
 	}
+	n.leave()
+}
+
+// leave ends all that goes on, as it stands.
+func (n *Node) leave() {
 	n.stop()
 	if n.ln != nil {
 		n.ln.Close()
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -507,8 +507,8 @@
 		if q.Look != nil && (q.Look.Most < 0 || q.Look.Most > 1000) {
 			q.Look.Most = 1000
 		}
-		if q.Call != nil {
-			s.news[q.Call.Session] = by
+		if q.Call != nil && (len(s.news) < 2*s.n.stated.Terms.Sessions || s.news[q.Call.Session] != nil) {
+			s.news[q.Call.Session] = by // others learn with their next answer
 		}
 		s.member.Ask(council.Request{Handle: s.handle, Call: q.Call, Look: q.Look})
 	default:
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -22,7 +22,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"brackenfront/lease"
 )
 
 const (
@@ -112,20 +112,11 @@
 	Nonce   [16]byte `cbor:"10,keyasint"`
 }
 
-var strict, _ = cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 16, MaxArrayElements: 1 << 20,
-	ExtraReturnErrors: cbor.ExtraDecErrorUnknownField}.DecMode()
-
 // Pack and Unpack are how payloads are written and read: all of one has to be understood.
-func Pack(v any) []byte {
-	b, err := cbor.Marshal(v)
-	if err != nil { // only a type that cannot be encoded
-		panic(err)
-	}
-	return b
-}
+func Pack(v any) []byte { return lease.Encode(v) }
 
 func Unpack(b []byte, v any) error {
-	if err := strict.Unmarshal(b, v); err != nil {
+	if err := lease.Decode(b, v); err != nil {
 		return fmt.Errorf("%w: %w", ErrBad, err)
 	}
 	return nil
--- a/internal/fleetrig/fleet.go
+++ b/internal/fleetrig/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -173,7 +172,7 @@
 
 func (f *playing) build() error {
 	keys := filepath.Join(f.dir, "keys")
-	if err := os.WriteFile(keys, []byte(strings.Repeat(hex.EncodeToString([]byte("rig.")), 8)), 0o600); err != nil {
+	if err := os.WriteFile(keys, []byte(strings.Repeat(fmt.Sprintf("%08x", host.Add(1)), 4)+fmt.Sprintf("%032x", os.Getpid())), 0o600); err != nil {
 		return err
 	}
 	group := int(host.Add(1))
@@ -236,6 +235,9 @@
 func (o *process) start() error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.cmd != nil { // two faults at once ended it, and one has begun it anew
+		return nil
+	}
 	raw, err := json.Marshal(o.orders)
 	if err != nil {
 		return err
@@ -247,6 +249,7 @@
 	cmd := exec.Command(self)
 	cmd.Env = append(os.Environ(), "FLEETRIG_ORDERS="+string(raw))
 	cmd.Stderr = o.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the rig
 	out, in, err := os.Pipe()
 	if err != nil {
 		return err
@@ -283,6 +286,13 @@
 	}
 }
 
+// order has a write of its next start fail.
+func (o *process) order(n int) {
+	o.mu.Lock()
+	o.orders.FailPut = n
+	o.mu.Unlock()
+}
+
 func (o *process) signal(s syscall.Signal) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -446,11 +456,11 @@
 	case "disk fails":
 		o := f.all[t.who[0]]
 		o.kill()
-		o.orders.FailPut = t.n
+		o.order(t.n)
 		o.start()
 		sleep(ctx, lasts)
 		o.kill()
-		o.orders.FailPut = 0
+		o.order(0)
 		o.start()
 	case "disk lost", "disk old":
 		o := f.all[t.who[0]]
--- a/internal/fleetrig/load.go
+++ b/internal/fleetrig/load.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,38 +33,88 @@
 	Restart  time.Duration
 }
 
-// Press puts sessions on a council, then so many changes of leases: each a grant or a release.
-func Press(ctx context.Context, sessions, changes int) (l Load, err error) {
+// Council is three processes that agree, and nothing between them.
+type Council struct {
+	f      *playing
+	stated fleet.Stated
+}
+
+// NewCouncil starts one with leases of so many seconds.
+func NewCouncil(ctx context.Context, ttl float64) (c *Council, err error) {
 	f := &playing{Play: Play{Seed: 1, Seats: 3}, links: map[[2]int]*Link{}}
+	c = &Council{f: f}
 	f.rnd.Seed(1)
 	if f.dir, err = os.MkdirTemp("", "fleet"); err != nil {
-		return l, err
+		return nil, err
 	}
-	defer os.RemoveAll(f.dir)
+	defer func() {
+		if err != nil {
+			c.Close()
+		}
+	}()
 	if f.judge, err = NewJudge(machineNow, true); err != nil {
-		return l, err
+		return nil, err
 	}
-	defer f.judge.Close()
-	defer f.close()
-	if err := f.build(); err != nil {
-		return l, err
+	if err = f.build(); err != nil {
+		return nil, err
 	}
 	terms := lease.Usual()
-	terms.TTL = 6
-	stated := fleet.Stated{Keys: filepath.Join(f.dir, "keys"), Founding: 1, Terms: terms, Tick: 50 * time.Millisecond}
+	terms.TTL = ttl
+	c.stated = fleet.Stated{Keys: filepath.Join(f.dir, "keys"), Founding: 1, Terms: terms, Tick: time.Duration(ttl / 120 * float64(time.Second))}
 	for _, o := range f.all {
-		o.orders.Stated.Terms, o.orders.Stated.Tick, o.orders.Rate = terms, stated.Tick, 1
-		stated.Council = append(stated.Council, fleet.Named{Broker: o.name, Addr: o.addr})
-		if err := o.start(); err != nil {
-			return l, err
+		o.orders.Stated.Terms, o.orders.Stated.Tick, o.orders.Rate = terms, c.stated.Tick, 1
+		c.stated.Council = append(c.stated.Council, fleet.Named{Broker: o.name, Addr: o.addr})
+		if err = o.start(); err != nil {
+			return nil, err
+		}
+	}
+	if f.lead(ctx) == nil {
+		err = fmt.Errorf("nobody leads")
+	}
+	return c, err
+}
+
+// Join starts a node of this process under a name.
+func (c *Council) Join(name string) (*fleet.Node, error) {
+	s := c.stated
+	s.Broker = name
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return fleet.Start(s, fleet.Real(), log)
+}
+
+// Freeze has all of the council stand still, or go on.
+func (c *Council) Freeze(still bool) {
+	for _, o := range c.f.all {
+		if still {
+			o.signal(syscall.SIGSTOP)
+		} else {
+			o.signal(syscall.SIGCONT)
 		}
 	}
+}
+
+// Close ends it.
+func (c *Council) Close() {
+	c.f.close()
+	if c.f.judge != nil {
+		c.f.judge.Close()
+	}
+	os.RemoveAll(c.f.dir)
+}
+
+// Press puts sessions on a council, then so many changes of leases: each a grant or a release.
+func Press(ctx context.Context, sessions, changes int) (l Load, err error) {
+	c, err := NewCouncil(ctx, 6)
+	if err != nil {
+		return l, err
+	}
+	defer c.Close()
+	f, terms := c.f, c.stated.Terms
 	lead := f.lead(ctx)
 	if lead == nil {
 		return l, fmt.Errorf("nobody leads")
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	nodes := make([]*fleet.Node, sessions)
 	defer func() {
 		end, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -77,9 +128,7 @@
 		all.Wait()
 	}()
 	for i := range nodes {
-		s := stated
-		s.Broker = fmt.Sprint("n", i)
-		if nodes[i], err = fleet.Start(s, fleet.Real(), log); err != nil {
+		if nodes[i], err = c.Join(fmt.Sprint("n", i)); err != nil {
 			return l, err
 		}
 	}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -16,7 +16,6 @@
 	"github.com/tailscale/hujson"
 
 	"brackenfront/halls"
-	"brackenfront/lease"
 )
 
 // Options are an operator's choices. The zero values of Flight and Halls keep them off.
@@ -51,7 +50,6 @@
 		Report   string // file of a report on the whole fleet, where this broker makes it
 		ReportS  int    // seconds between two
 		Seats    []Seat // Council, read; none: the fleet is off
-		Terms    lease.Terms
 	}
 	Log struct {
 		Level  string
@@ -136,11 +134,6 @@
 	say := func(field, format string, args ...any) {
 		wrong = append(wrong, fmt.Errorf("field fleet."+field+": "+format, args...))
 	}
-	f.Terms = lease.Usual()
-	f.Terms.TTL, f.Terms.Drift = float64(f.TTLMS)/1e3, float64(f.Drift)/1e3
-	if err := f.Terms.Check(); err != nil {
-		wrong = append(wrong, fmt.Errorf("field fleet.ttl_ms or fleet.drift_permille: %w", err))
-	}
 	if f.TickMS*ticksInTTL > f.TTLMS {
 		say("tick_ms", "got %d, expected no more than a %dth of fleet.ttl_ms, %d: a leader has to be replaced well within a lease",
 			f.TickMS, ticksInTTL, f.TTLMS)
--- a/internal/program/withfleet/withfleet.go
+++ b/internal/program/withfleet/withfleet.go
@@ -21,6 +21,7 @@
 	"brackenfront/internal/fleet/wire"
 	"brackenfront/internal/options"
 	"brackenfront/internal/program"
+	"brackenfront/lease"
 )
 
 // Fleet adds leases and what stands on them.
@@ -34,8 +35,10 @@
 
 func stated(o *options.Options) fleet.Stated {
 	f := &o.Fleet
+	terms := lease.Usual() // here, as a program without the fleet does without its libraries
+	terms.TTL, terms.Drift = float64(f.TTLMS)/1e3, float64(f.Drift)/1e3
 	return fleet.Stated{Broker: f.Broker, Listen: f.Listen, Keys: f.Keys, Dir: f.Dir, Council: seats(o), Founding: uint32(f.Founding),
-		Terms: f.Terms, Tick: time.Duration(f.TickMS) * time.Millisecond, Report: f.Report, Every: time.Duration(f.ReportS) * time.Second}
+		Terms: terms, Tick: time.Duration(f.TickMS) * time.Millisecond, Report: f.Report, Every: time.Duration(f.ReportS) * time.Second}
 }
 
 func seats(o *options.Options) (all []fleet.Named) {
@@ -50,6 +53,9 @@
 	if _, err := wire.ReadKeys(o.Fleet.Keys); err != nil {
 		return fmt.Errorf("field fleet.keys: %w", err)
 	}
+	if err := stated(o).Terms.Check(); err != nil {
+		return fmt.Errorf("fields fleet.ttl_ms and fleet.drift_permille: %w", err)
+	}
 	if o.Fleet.Report != "" {
 		if err := writable(filepath.Dir(o.Fleet.Report)); err != nil {
 			return fmt.Errorf("field fleet.report: expected a file in a folder that can be written: %w", err)
