Read once more: accessors nobody calls, a field nobody reads, a hello's disk read one way

Found by reading the whole change: State.Terms and Session.Terms had no caller, client.asked no reader; peer.run reached into the seat for what introduce tells; the check of options put the stated fleet together twice. Nothing behaves otherwise; tests as they were.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -25,10 +25,9 @@
 
 	link    *link
 	dialing bool
-	toward  int    // of the council's brokers, the next to ask
-	lead    string // address that was named as the leader's, to be asked first
-	fresh   bool   // the link is new: what is out is sent again
-	asked   float64
+	toward  int     // of the council's brokers, the next to ask
+	lead    string  // address that was named as the leader's, to be asked first
+	fresh   bool    // the link is new: what is out is sent again
 	waiting float64 // since when a call has gone without an answer; 0 for none
 	asks    map[string]*asker
 	held    map[string]*Held
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -626,11 +626,12 @@
 	least := 2 * n.stated.Tick
 	wait := least
 	for ctx.Err() == nil {
-		disk := func() uint64 { p.s.mu.Lock(); defer p.s.mu.Unlock(); return p.s.intro.Disk }()
+		var mine wire.Hello // of the disk that this connection speaks for
+		p.s.introduce(&mine)
 		if c, theirs, err := n.dial(ctx, p.addr, wire.Peer); err == nil && n.keep(ctx, c) {
 			if theirs.Broker == p.broker {
 				wait = least
-				p.serve(ctx, c, disk)
+				p.serve(ctx, c, mine.Disk)
 			} else {
 				n.count("peer of another name")
 			}
--- a/internal/program/withfleet/withfleet.go
+++ b/internal/program/withfleet/withfleet.go
@@ -53,16 +53,17 @@
 	if _, err := wire.ReadKeys(o.Fleet.Keys); err != nil {
 		return fmt.Errorf("field fleet.keys: %w", err)
 	}
-	if err := stated(o).Terms.Check(); err != nil {
+	s := stated(o)
+	if err := s.Terms.Check(); err != nil {
 		return fmt.Errorf("fields fleet.ttl_ms and fleet.drift_permille: %w", err)
 	}
-	if o.Fleet.Report != "" {
-		if err := writable(filepath.Dir(o.Fleet.Report)); err != nil {
+	if s.Report != "" {
+		if err := writable(filepath.Dir(s.Report)); err != nil {
 			return fmt.Errorf("field fleet.report: expected a file in a folder that can be written: %w", err)
 		}
 	}
-	if stated(o).Seated() {
-		if err := writable(o.Fleet.Dir); err != nil {
+	if s.Seated() {
+		if err := writable(s.Dir); err != nil {
 			return fmt.Errorf("field fleet.dir: expected a folder that can be written: %w", err)
 		}
 	}
--- a/lease/session.go
+++ b/lease/session.go
@@ -86,9 +86,6 @@
 // ID is the session's. It changes when the council has forgotten it.
 func (s *Session) ID() ID { return s.id }
 
-// Terms are the council's; with a TTL of 0 before it has answered.
-func (s *Session) Terms() Terms { return s.terms }
-
 // Until is when the right to act under any lease ends, by this process's clock.
 func (s *Session) Until() float64 { return s.right.until }
 
--- a/lease/state.go
+++ b/lease/state.go
@@ -59,9 +59,6 @@
 		byID: map[ID]*session{}, lines: map[string]*line{}}
 }
 
-// Terms are what the council was founded with.
-func (s *State) Terms() Terms { return s.terms }
-
 // Now is the council's time in seconds since its founding.
 func (s *State) Now() float64 { return s.now }
 
