--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -31,6 +31,7 @@
 	waiting float64 // since when a call has gone without an answer; 0 for none
 	asks    map[string]*asker
 	held    map[string]*Held
+	writes  map[string]chan error // notes under way
 	slow    bool
 	closing bool
 	pause   time.Duration
@@ -61,7 +62,7 @@
 	s := lease.NewSession(n.stated.Broker, n.stated.Listen, draw)
 	s.Stay()
 	return &client{n: n, session: s, inbox: make(chan func(), inboxed),
-		over: make(chan struct{}), asks: map[string]*asker{}, held: map[string]*Held{}}
+		over: make(chan struct{}), asks: map[string]*asker{}, held: map[string]*Held{}, writes: map[string]chan error{}}
 }
 
 // Held is a lease that this process holds, or held.
@@ -107,6 +108,34 @@
 	})
 }
 
+// Write puts down the lease's note, which whoever holds the lease next can read. It returns once the council has agreed,
+// or the lease is lost; what became of the note is then not known. One at a time.
+func (h *Held) Write(ctx context.Context, note []byte) error {
+	told := make(chan error, 1)
+	if !h.c.do(func() {
+		switch {
+		case h.c.held[h.Name] != h:
+			told <- ErrLost
+		case h.c.writes[h.Name] != nil:
+			told <- ErrAsked
+		case !h.c.session.Write(h.Name, note):
+			told <- fmt.Errorf("fleet: lease %s: a note of %d bytes cannot be written", h.Name, len(note))
+		default:
+			h.c.writes[h.Name] = told
+		}
+	}) {
+		return ErrClosed
+	}
+	select {
+	case err := <-told:
+		return err
+	case <-h.lost:
+		return ErrLost
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // Acquire asks for a lease, or for one of the places of a counted one, and waits in line for as long as ctx lets it
 // and no longer than wait.
 func (n *Node) Acquire(ctx context.Context, name string, places int, wait time.Duration) (*Held, error) {
@@ -257,8 +286,14 @@
 func (c *client) tell() {
 	for _, e := range c.session.Events() {
 		a, h := c.asks[e.Name], c.held[e.Name]
+		if e.Note {
+			c.wrote(e)
+			continue
+		}
 		switch e.Status {
-		case lease.Waiting, lease.Freed:
+		case lease.Waiting:
+		case lease.Freed:
+			delete(c.writes, e.Name)
 		case lease.Granted:
 			if a == nil { // withdrawn since
 				c.session.Release(e.Name)
@@ -271,6 +306,7 @@
 			a.got <- h
 		case lease.Unknown:
 			c.n.count("lease lost")
+			delete(c.writes, e.Name)
 			if h != nil {
 				delete(c.held, e.Name)
 				close(h.lost)
@@ -295,6 +331,23 @@
 	c.slow = slow
 }
 
+// wrote tells what became of a note.
+func (c *client) wrote(e lease.Event) {
+	told := c.writes[e.Name]
+	if told == nil {
+		return
+	}
+	delete(c.writes, e.Name)
+	switch e.Status {
+	case lease.Written:
+		told <- nil
+	case lease.NotHeld:
+		told <- ErrLost
+	default:
+		told <- fmt.Errorf("fleet: note of lease %s: the council says %s", e.Name, e.Status)
+	}
+}
+
 // dial begins a connection to the leader, if one was named, or to the next member.
 func (c *client) dial(ctx context.Context) {
 	if c.dialing || time.Now().Before(c.again) {
--- a/internal/fleet/council/member.go
+++ b/internal/fleet/council/member.go
@@ -73,6 +73,7 @@
 	Known []uint64 `cbor:"4,keyasint,omitempty"` // those with these tokens
 
 	Brokers bool `cbor:"5,keyasint,omitempty"` // the processes that have a session instead
+	Note    bool `cbor:"6,keyasint,omitempty"` // the note of the lease From instead
 }
 
 // Seen answers a Look.
@@ -81,6 +82,7 @@
 	Leases []lease.Lease `cbor:"2,keyasint" json:"leases"`
 
 	Brokers []lease.Broker `cbor:"3,keyasint,omitempty" json:"brokers,omitempty"`
+	Note    *lease.Note    `cbor:"4,keyasint,omitempty" json:"note,omitempty"`
 }
 
 // Reply is what became of a request.
@@ -384,9 +386,13 @@
 			m.out.Replies = append(m.out.Replies, Reply{Handle: r.Handle, Err: ErrBusy})
 		default:
 			seen := &Seen{Now: m.state.Now()}
-			if r.Look.Brokers {
+			switch {
+			case r.Look.Brokers:
 				seen.Brokers = m.state.Brokers()
-			} else {
+			case r.Look.Note:
+				n := m.state.Note(r.Look.From)
+				seen.Note = &n
+			default:
 				seen.Leases = m.state.Leases(r.Look.From, r.Look.Most)
 			}
 			m.out.Replies = append(m.out.Replies, Reply{Handle: r.Handle, Seen: seen})
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -7,7 +7,9 @@
 //     never overlap, and the tokens of accepted acts never fall. A process that stood still between looking at its
 //     lease and acting is part of this: every act carries its token, and targets refuse one lower than the highest
 //     they have seen. A target that cannot check is given only acts whose doubling is stated harmless.
-//  2. Lives. While a majority of the council is up and connected, a free lease is granted within a stated time.
+//  2. One writer. A lease's note changes by who holds the lease at that place of the agreed log, and by nobody else. It
+//     outlives its writer, so that the next holder goes on where the last one ended.
+//  3. Lives. While a majority of the council is up and connected, a free lease is granted within a stated time.
 //
 // What it rests on, and nothing else: the council's log is agreed (Raft, a library); a process's own elapsed time
 // runs at a rate within Drift of true time; ids of sessions are never drawn twice. No wall clock, no sleep, no speed
@@ -46,6 +48,8 @@
 	mostName  = 128  // bytes of a lease's or an owner's name
 	mostPlace = 1024 // places of a counted lease
 	MostOps   = 1024 // in one call
+	MostNote  = 256 << 10
+	mostNotes = 256
 )
 
 // Usual are the terms of a council whose operator states nothing else.
@@ -80,6 +84,7 @@
 const (
 	Acquire Kind = iota + 1 // a place of a lease, at once or in line
 	Release                 // the place held, or the one in line
+	Write                   // the lease's note, by whoever holds a place of it
 )
 
 // Op is one operation of a call.
@@ -88,6 +93,7 @@
 	Name   string  `cbor:"2,keyasint"`
 	Places int     `cbor:"3,keyasint,omitempty"` // of the lease: 1 unless it is a counted one
 	Wait   float64 `cbor:"4,keyasint,omitempty"` // seconds that it may stand in line; 0 for not at all
+	Note   []byte  `cbor:"5,keyasint,omitempty"` // that is written; none takes the note away
 }
 
 func (o Op) check() bool {
@@ -99,6 +105,8 @@
 		return o.Places >= 1 && o.Places <= mostPlace && o.Wait >= 0
 	case Release:
 		return true
+	case Write:
+		return len(o.Note) <= MostNote
 	}
 	return false
 }
@@ -130,9 +138,11 @@
 	Done                      // of a call: its operations were looked at
 	Unknown                   // of a call: there is no such session, or no longer
 	Stale                     // of a call: a later one has taken effect
+	Written                   // the note
+	NotHeld                   // nothing is written by who does not hold the lease
 )
 
-var statuses = [...]string{"", "bad", "granted", "waiting", "taken", "full", "differs", "freed", "done", "unknown", "stale"}
+var statuses = [...]string{"", "bad", "granted", "waiting", "taken", "full", "differs", "freed", "done", "unknown", "stale", "written", "not held"}
 
 func (s Status) String() string { return statuses[s] }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -32,8 +32,10 @@
 	return c.Apply(Command{At: at, Calls: []Call{{Session: id(who), Number: c.numbers[id(who)], Owner: fmt.Sprint("b", who), Ops: ops}}})[0]
 }
 
-func acquire(name string, wait float64) Op { return Op{Acquire, name, 1, wait} }
-func release(name string) Op               { return Op{Kind: Release, Name: name} }
+func acquire(name string, wait float64) Op {
+	return Op{Kind: Acquire, Name: name, Places: 1, Wait: wait}
+}
+func release(name string) Op { return Op{Kind: Release, Name: name} }
 
 // TestInLine: free places go to those that have waited longest, with tokens that rise; one that was told so late is
 // told again.
@@ -51,7 +53,7 @@
 	if a := c.call(20, 5, acquire("x", 0)); a.Results[0].Status != Taken {
 		t.Error("one that would not wait:", a)
 	}
-	if a := c.call(20, 6, Op{Acquire, "x", 2, 0}); a.Results[0].Status != Differs {
+	if a := c.call(20, 6, Op{Kind: Acquire, Name: "x", Places: 2}); a.Results[0].Status != Differs {
 		t.Error("another number of places:", a)
 	}
 	c.call(21, 3, release("x")) // leaves the line
@@ -143,7 +145,8 @@
 		t.Error("sessions:", a)
 	}
 	for _, o := range []Op{{Kind: Acquire, Name: "", Places: 1}, {Kind: Acquire, Name: "x"}, {Kind: 9, Name: "x"},
-		{Acquire, "x", 1, math.NaN()}, {Acquire, "x", 1, -1}, {Acquire, "x", mostPlace + 1, 0}, {Acquire, string(make([]byte, mostName+1)), 1, 0}} {
+		acquire("x", math.NaN()), acquire("x", -1),
+		{Kind: Acquire, Name: "x", Places: mostPlace + 1}, acquire(string(make([]byte, mostName+1)), 0)} {
 		if a := c.call(20, 1, o); a.Results[0].Status != Bad {
 			t.Errorf("%+v: %v", o, a)
 		}
@@ -160,6 +163,7 @@
 		c := founded(func(t *Terms) { t.Longest = 30 })
 		at, last := 20.0, c.token
 		var old []Call
+		notes := map[string]uint64{}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			at += rapid.Float64Range(0, 4).Draw(t, "gap")
 			who := rapid.IntRange(1, 6).Draw(t, "who")
@@ -171,8 +175,8 @@
 				call = Call{Session: id(who), Number: c.numbers[id(who)], End: rapid.IntRange(0, 20).Draw(t, "end") == 0}
 				for range rapid.IntRange(0, 4).Draw(t, "ops") {
 					name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
-					call.Ops = append(call.Ops, Op{Kind(rapid.IntRange(1, 2).Draw(t, "kind")), name, map[string]int{"a": 1, "b": 1, "c": 3}[name],
-						rapid.Float64Range(0, 20).Draw(t, "wait")})
+					call.Ops = append(call.Ops, Op{Kind(rapid.IntRange(1, 3).Draw(t, "kind")), name, map[string]int{"a": 1, "b": 1, "c": 3}[name],
+						rapid.Float64Range(0, 20).Draw(t, "wait"), []byte{1}})
 				}
 				old = append(old, call)
 			}
@@ -206,6 +210,12 @@
 					seen[g.Token], place[g.Place] = true, true
 				}
 			}
+			for name, n := range c.notes {
+				if n.Token < notes[name] || n.Token > c.token || c.lines[name] != nil && c.lines[name].Places == 1 && len(c.lines[name].Held) == 1 && n.Token > c.lines[name].Held[0].Token {
+					t.Fatalf("%s: note under token %d, after %d", name, n.Token, notes[name])
+				}
+				notes[name] = n.Token
+			}
 			for _, p := range c.sessions {
 				for _, n := range p.Names {
 					l := c.lines[n]
@@ -227,6 +237,65 @@
 	})
 }
 
+// TestNote: a lease's note is written by its holder alone, outlives it, and is bounded; a process whose right has passed
+// asks for nothing of the kind.
+func TestNote(t *testing.T) {
+	c := founded(nil)
+	write := func(text string) Op { return Op{Kind: Write, Name: "x", Note: []byte(text)} }
+	got := c.call(20, 1, acquire("x", 0), write("one")).Results
+	if got[1].Status != Written || got[1].Token != got[0].Token || string(c.Note("x").Text) != "one" {
+		t.Fatal(got, c.Note("x"))
+	}
+	if r := c.call(20, 2, acquire("x", 100), write("two")).Results; r[1].Status != NotHeld {
+		t.Error("written by who waits:", r)
+	}
+	if r := c.call(21, 1, release("x"), write("late")).Results; r[1].Status != NotHeld {
+		t.Error("written after the release:", r)
+	}
+	if n := c.Note("x"); string(n.Text) != "one" || n.Token != got[0].Token {
+		t.Error("not kept:", n)
+	}
+	next := c.call(21, 2, write("two"))
+	if n := c.Note("x"); next.Results[0].Status != Written || string(n.Text) != "two" || n.Token <= got[0].Token {
+		t.Error(next, n)
+	}
+	c.call(21, 2, write(""))
+	if n := c.Note("x"); len(n.Text) != 0 || len(c.notes) != 0 {
+		t.Error("not taken away:", n)
+	}
+	if r := c.call(21, 2, Op{Kind: Write, Name: "x", Note: make([]byte, MostNote+1)}).Results; r[0].Status != Bad {
+		t.Error("too long:", r)
+	}
+
+	s, c := pair(t)
+	s.Acquire("x", 1, 0)
+	call, _ := s.Send(100, false)
+	s.Answer(100.1, c.takes(20, call))
+	if !s.Write("x", []byte("a")) || !s.Write("x", []byte("b")) || s.Write("y", nil) {
+		t.Error("what is held can be written, and nothing else")
+	}
+	for i, want := range []string{"a", "b"} { // one in a call
+		call, ok := s.Send(100.2, false)
+		if !ok || len(call.Ops) != 1 || string(call.Ops[0].Note) != want {
+			t.Fatal(i, call, ok)
+		}
+		s.Answer(100.3, c.takes(20, call))
+	}
+	var told int
+	for _, e := range s.Events() {
+		if e.Note && e.Status == Written {
+			told++
+		}
+	}
+	if told != 2 || string(c.Note("x").Text) != "b" {
+		t.Error(told, c.Note("x"))
+	}
+	s.Lapse(200)
+	if s.Write("x", nil) {
+		t.Error("written after the right has passed")
+	}
+}
+
 // pair is a Session and the council it speaks to, at will.
 func pair(t *testing.T) (*Session, *council) {
 	n := 100
--- a/lease/session.go
+++ b/lease/session.go
@@ -66,6 +66,7 @@
 	Status Status // Granted, Waiting, Taken, Full, Differs, Bad; Unknown for one that was lost; Freed
 	Token  uint64
 	Place  int
+	Note   bool // of a note: Written, NotHeld, Full, Bad
 }
 
 const (
@@ -91,7 +92,7 @@
 
 // Acquire asks for a place of a lease. One name is asked for once at a time: false if it is already.
 func (s *Session) Acquire(name string, places int, wait float64) bool {
-	o := Op{Acquire, name, places, wait}
+	o := Op{Kind: Acquire, Name: name, Places: places, Wait: wait}
 	w := s.wants[name]
 	if !o.check() || s.ending || w != nil && (!w.dropped || w.anew != nil) {
 		return false
@@ -114,6 +115,17 @@
 	}
 }
 
+// Write puts down a note of a lease that is held; what becomes of it is an event, Written or NotHeld, or the lease's loss
+// (it may have been written then). What is lost to this process is not written by it, unless that was under way.
+func (s *Session) Write(name string, note []byte) bool {
+	w := s.wants[name]
+	if w == nil || w.stage != Granted || w.dropped || s.ending || len(note) > MostNote {
+		return false
+	}
+	s.ops = append(s.ops, Op{Kind: Write, Name: name, Note: note})
+	return true
+}
+
 func (s *Session) drop(w *want) {
 	if !w.dropped {
 		w.dropped = true
@@ -155,6 +167,9 @@
 		case len(s.ops) > 0 || (s.number > 0 || s.stay) && now >= s.renew:
 			s.number++
 			n := min(len(s.ops), MostOps)
+			if i := slices.IndexFunc(s.ops, func(o Op) bool { return o.Kind == Write }); i >= 0 {
+				n = min(n, i+1) // notes are large: one in a call
+			}
 			s.out = &Call{Session: s.id, Number: s.number, Ops: slices.Clone(s.ops[:n]), Seen: s.seen}
 			s.ops = slices.Delete(s.ops, 0, n)
 			if s.number == 1 {
@@ -256,6 +271,10 @@
 }
 
 func (s *Session) result(o Op, r Result) {
+	if o.Kind == Write {
+		s.tell(Event{Name: o.Name, Status: r.Status, Token: r.Token, Note: true})
+		return
+	}
 	w := s.wants[o.Name]
 	if w == nil {
 		return
@@ -272,7 +291,7 @@
 		return
 	}
 	w.stage, w.token, w.place = r.Status, r.Token, r.Place
-	s.tell(Event{o.Name, r.Status, r.Token, r.Place})
+	s.tell(Event{Name: o.Name, Status: r.Status, Token: r.Token, Place: r.Place})
 	if r.Status != Granted && r.Status != Waiting {
 		delete(s.wants, o.Name)
 	}
@@ -292,7 +311,7 @@
 		return
 	}
 	w.stage, w.token, w.place = Granted, g.Token, g.Place
-	s.tell(Event{g.Name, Granted, g.Token, g.Place})
+	s.tell(Event{Name: g.Name, Status: Granted, Token: g.Token, Place: g.Place})
 }
 
 // lapse drops what is held once the right has passed.
--- a/lease/state.go
+++ b/lease/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
@@ -18,6 +19,7 @@
 	sessions []*session
 	byID     map[ID]*session
 	lines    map[string]*line
+	notes    map[string]*Note
 	next     float64 // nothing ends by itself before this
 	news     []Grant // granted out of lines since Told
 }
@@ -41,6 +43,13 @@
 	Wait   []waiter `cbor:"4,keyasint,omitempty"`
 }
 
+// Note is what a lease's holder has written down; it stays when the lease is given back, lost or forgotten.
+type Note struct {
+	Name  string `cbor:"1,keyasint" json:"lease"`
+	Token uint64 `cbor:"2,keyasint" json:"token"` // under which it was written
+	Text  []byte `cbor:"3,keyasint" json:"text"`
+}
+
 type waiter struct {
 	Session ID      `cbor:"1,keyasint"`
 	Until   float64 `cbor:"2,keyasint"`
@@ -56,7 +65,7 @@
 // those of a council that was lost whole stay lower, if its operator counts the foundings.
 func New(t Terms, founding uint32) *State {
 	return &State{terms: t, from: t.Kept(), next: t.Kept(), token: uint64(founding) << 40,
-		byID: map[ID]*session{}, lines: map[string]*line{}}
+		byID: map[ID]*session{}, lines: map[string]*line{}, notes: map[string]*Note{}}
 }
 
 // Now is the council's time in seconds since its founding.
@@ -142,6 +151,9 @@
 		return Result{Status: Bad}
 	}
 	l := s.lines[o.Name]
+	if o.Kind == Write {
+		return s.write(p, l, o)
+	}
 	if o.Kind == Release {
 		if l != nil {
 			s.leave(p, l)
@@ -186,6 +198,34 @@
 	return Result{Status: Waiting}
 }
 
+// write changes a lease's note. The holder is who the agreed state says at this place of the log, whatever has passed
+// since the call was sent: a former holder's words change nothing.
+func (s *State) write(p *session, l *line, o Op) Result {
+	if l == nil {
+		return Result{Status: NotHeld}
+	}
+	i := slices.IndexFunc(l.Held, func(g Grant) bool { return g.Session == p.ID })
+	switch {
+	case i < 0:
+		return Result{Status: NotHeld}
+	case len(o.Note) == 0:
+		delete(s.notes, o.Name)
+	case s.notes[o.Name] == nil && len(s.notes) >= mostNotes:
+		return Result{Status: Full}
+	default:
+		s.notes[o.Name] = &Note{o.Name, l.Held[i].Token, o.Note}
+	}
+	return Result{Status: Written, Token: l.Held[i].Token}
+}
+
+// Note is what was written last by a holder of a lease; the zero Note for nothing. Its text is not to be changed.
+func (s *State) Note(name string) Note {
+	if n := s.notes[name]; n != nil {
+		return *n
+	}
+	return Note{Name: name}
+}
+
 // grant gives the lowest free place of a line that has one.
 func (s *State) grant(l *line, p *session) Grant {
 	place := 0
@@ -344,6 +384,7 @@
 	Next     float64    `cbor:"5,keyasint"`
 	Sessions []*session `cbor:"6,keyasint"`
 	Lines    []*line    `cbor:"7,keyasint"`
+	Notes    []*Note    `cbor:"8,keyasint,omitempty"`
 }
 
 var (
@@ -371,10 +412,13 @@
 
 // Image gives the whole state as bytes, the same on every member that has applied the same commands.
 func (s *State) Image() []byte {
-	m := image{s.terms, s.now, s.from, s.token, s.next, s.sessions, make([]*line, 0, len(s.lines))}
+	m := image{s.terms, s.now, s.from, s.token, s.next, s.sessions, make([]*line, 0, len(s.lines)), nil}
 	for _, n := range s.names() {
 		m.Lines = append(m.Lines, s.lines[n])
 	}
+	for _, n := range slices.Sorted(maps.Keys(s.notes)) {
+		m.Notes = append(m.Notes, s.notes[n])
+	}
 	return Encode(m)
 }
 
@@ -385,12 +429,15 @@
 		return nil, err
 	}
 	s := &State{terms: m.Terms, now: m.Now, from: m.From, token: m.Token, next: m.Next, sessions: m.Sessions,
-		byID: map[ID]*session{}, lines: map[string]*line{}}
+		byID: map[ID]*session{}, lines: map[string]*line{}, notes: map[string]*Note{}}
 	for _, p := range s.sessions {
 		s.byID[p.ID] = p
 	}
 	for _, l := range m.Lines {
 		s.lines[l.Name] = l
 	}
+	for _, n := range m.Notes {
+		s.notes[n.Name] = n
+	}
 	return s, nil
 }
