Taking turns: 'fleet roll' restarts or switches the brokers, so many at a time, by an agreed plan

A pure module, roll: who goes next, when it has gone, when all of it stops (a broker that does not come back or refuses, searches answered below a stated share), on, back, skip by an operator's word. The plan is the note of the lease of whoever leads, written before anything is done because of it; a broker acts only while the agreed plan says that it is its turn, so a leader that stood still moves nobody. Of the council one at a time, the leader's own broker last; brokers that are out for reasons of their own count. fleet.roll and fleet.restarts, off by default; the program's reload and drain can be asked for by the fleet as by signals.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -15,6 +15,7 @@
 	"brackenfront/internal/fleet/council"
 	"brackenfront/internal/fleet/wire"
 	"brackenfront/lease"
+	"brackenfront/roll"
 )
 
 // Named is one broker of the council, as the operators' file names it.
@@ -31,9 +32,19 @@
 	Terms    lease.Terms
 	Tick     time.Duration // a tenth of the least time until a leader is replaced
 
-	Report   string                  // file that a report on the whole fleet goes to, where this broker makes it; empty for none
-	Every    time.Duration           // how often
-	Counters func() map[string]int64 `json:"-"` // this broker's own, for it; asked from any goroutine
+	Report string        // file that a report on the whole fleet goes to, where this broker makes it; empty for none
+	Every  time.Duration // how often
+	Roll   bool          // takes turns in a switch of settings, and leads rolls where it has a seat
+	Again  bool          // whatever started this process starts it again when it has ended in good order: it takes turns in restarts
+	Own    Own           `json:"-"`
+}
+
+// Own is what the fleet asks of the broker that it is part of. All are called from any goroutine, and may be nil.
+type Own struct {
+	Counters func() map[string]int64 // counts since the start
+	Ready    func() bool             // it takes searches
+	Switch   func() error            // reads its settings again; an error leaves the former in force
+	Restart  func()                  // begins to end in good order
 }
 
 // Seated is whether this broker is one of the council.
@@ -69,6 +80,8 @@
 	counts  map[string]int64
 	acts    atomic.Int64    // calls of Act that go on
 	acting  map[string]bool // tasks that have not returned
+	did     did             // this process's last turn in a roll
+	taking  sync.Mutex      // one at a time
 }
 
 // Start joins the fleet. An error is of what was stated, or of what this process cannot have: a listener, a folder.
@@ -103,7 +116,10 @@
 	n.client = n.newClient()
 	n.all.Go(func() { n.client.run(ctx) })
 	if s.Report != "" {
-		n.all.Go(func() { n.report(ctx) })
+		n.all.Go(func() { n.stand(ctx, reportLease, n.reports) })
+	}
+	if s.Roll && n.seat != nil {
+		n.all.Go(func() { n.stand(ctx, rollLease, n.rolls) })
 	}
 	return n, nil
 }
@@ -160,12 +176,16 @@
 	return c
 }
 
-// tell gives this broker's counters.
-func (n *Node) tell() map[string]int64 {
-	if n.stated.Counters == nil {
-		return map[string]int64{}
+// tell says how this broker does.
+func (n *Node) tell() Told {
+	t := Told{Process: n.process, Counters: map[string]int64{}, Ready: n.stated.Own.Ready == nil || n.stated.Own.Ready()}
+	if n.stated.Own.Counters != nil {
+		t.Counters = n.stated.Own.Counters()
 	}
-	return n.stated.Counters()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t.Did, t.Failed = n.did.plan, n.did.failed
+	return t
 }
 
 func (n *Node) hello(k wire.Kind) wire.Hello {
@@ -284,7 +304,8 @@
 	Look    *council.Look `cbor:"3,keyasint,omitempty"`
 	Status  bool          `cbor:"4,keyasint,omitempty"`
 	Replace *Replace      `cbor:"5,keyasint,omitempty"`
-	Tell    bool          `cbor:"6,keyasint,omitempty"` // the broker's own counters
+	Tell    bool          `cbor:"6,keyasint,omitempty"` // how the broker itself does
+	Order   *roll.Order   `cbor:"7,keyasint,omitempty"` // it is its turn in a roll
 }
 
 // Replace asks that a broker's seat goes to another broker, which runs with a blank disk and this council stated.
@@ -303,7 +324,16 @@
 	Lead   string        `cbor:"6,keyasint,omitempty"` // broker to ask instead, and
 	Addr   string        `cbor:"7,keyasint,omitempty"` // where it says that it listens
 
-	Counters map[string]int64 `cbor:"8,keyasint,omitempty"`
+	Told *Told `cbor:"8,keyasint,omitempty"`
+}
+
+// Told is how one broker does.
+type Told struct {
+	Process  [16]byte         `cbor:"1,keyasint"`
+	Counters map[string]int64 `cbor:"2,keyasint,omitempty"`
+	Ready    bool             `cbor:"3,keyasint,omitempty"`
+	Did      uint64           `cbor:"4,keyasint,omitempty"` // number of the plan that its last turn in a roll was of,
+	Failed   string           `cbor:"5,keyasint,omitempty"` // and what became of that
 }
 
 // caller is a client's connection, on the side that answers.
@@ -363,7 +393,14 @@
 		}
 		switch {
 		case q.Tell:
-			me.tell(answered{Handle: q.Handle, Counters: n.tell()})
+			t := n.tell()
+			me.tell(answered{Handle: q.Handle, Told: &t})
+		case q.Order != nil:
+			a := answered{Handle: q.Handle}
+			if err := n.turn(ctx, *q.Order); err != nil {
+				a.Err = err.Error()
+			}
+			me.tell(a)
 		case n.seat == nil && q.Status:
 			me.tell(answered{Handle: q.Handle, Status: n.Status()})
 		case n.seat == nil:
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -489,7 +489,7 @@
 	}
 	begin := func(name string, taken int64, reports bool) {
 		s := f.stated(name)
-		s.Counters = func() map[string]int64 { return map[string]int64{"taken": taken} }
+		s.Own.Counters = func() map[string]int64 { return map[string]int64{"taken": taken} }
 		if reports {
 			s.Report, s.Every = path, 10*time.Millisecond
 		}
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"brackenfront/lease"
 )
 
 // reportLease is what whoever makes the report holds.
@@ -41,16 +43,17 @@
 	Counters map[string]int64 `json:"counters,omitempty"`
 }
 
-// report waits for its turn to make the report, and makes it as long as it has it.
-func (n *Node) report(ctx context.Context) {
+// stand waits in line for a task's lease, and carries the task on as long as it has it. What is done in it has a quarter of
+// a renewal's right to end in.
+func (n *Node) stand(ctx context.Context, name string, do func(context.Context, *Turn) error) {
 	for ctx.Err() == nil {
-		task := Task{Name: reportLease, Wait: time.Minute, Bound: time.Duration(n.stated.Terms.Right() / 4 * float64(time.Second))}
-		err := n.Act(ctx, task, n.reports)
+		task := Task{Name: name, Wait: time.Minute, Bound: time.Duration(n.stated.Terms.Right() / 4 * float64(time.Second))}
+		err := n.Act(ctx, task, do)
 		if errors.Is(err, ErrClosed) {
 			return
 		}
 		if err != nil && !errors.Is(err, ErrTaken) && ctx.Err() == nil {
-			n.log.WithError(err).Warn("fleet: the report")
+			n.log.WithError(err).WithField("task", name).Warn("fleet: a task ended badly")
 		}
 		select { // whoever did badly lets others go first
 		case <-ctx.Done():
@@ -59,6 +62,7 @@
 	}
 }
 
+// reports makes one after the other.
 func (n *Node) reports(ctx context.Context, turn *Turn) error {
 	desk := Desk{n.stated.Council, n.keys, n.world}
 	for number := 1; ; number++ {
@@ -90,45 +94,58 @@
 		return nil, err
 	}
 	r := &Report{By: n.stated.Broker, Asked: len(known), Sums: map[string]int64{}, Brokers: make([]Reported, len(known))}
+	n.each(ctx, desk, known, func(i int, got Told, err error) {
+		r.Brokers[i] = Reported{Broker: known[i].Owner, Addr: known[i].Addr, Counters: got.Counters}
+		if err != nil {
+			r.Brokers[i].Failed = err.Error()
+		}
+	})
+	slices.SortStableFunc(r.Brokers, func(a, b Reported) int { return strings.Compare(a.Broker, b.Broker) })
+	for _, b := range r.Brokers {
+		if b.Failed != "" {
+			continue
+		}
+		r.Heard++
+		for _, k := range slices.Sorted(maps.Keys(b.Counters)) {
+			r.Sums[k] += b.Counters[k]
+		}
+	}
+	return r, ctx.Err()
+}
+
+// errMute is of a broker that the council knows and nobody can ask.
+var errMute = errors.New("it does not listen for the fleet")
+
+// reach is where this broker reaches another: one of the council at the address that is stated here.
+func (n *Node) reach(broker, addr string) string {
+	for _, o := range n.stated.Council {
+		if o.Broker == broker {
+			return o.Addr
+		}
+	}
+	return addr
+}
+
+// each asks brokers how they do, some at a time, this one too; told is called once for each, from any goroutine.
+func (n *Node) each(ctx context.Context, desk Desk, known []lease.Broker, told func(i int, got Told, err error)) {
 	var all sync.WaitGroup
+	defer all.Wait()
 	room := make(chan bool, askedAtOnce)
 	for i, b := range known {
-		one := &r.Brokers[i]
-		one.Broker, one.Addr = b.Owner, b.Addr
 		switch {
 		case b.Owner == n.stated.Broker:
-			one.Counters = n.tell()
+			told(i, n.tell(), nil)
 		case b.Addr == "":
-			one.Failed = "it does not listen for the fleet"
+			told(i, Told{}, errMute)
 		default:
 			room <- true
 			all.Go(func() {
 				defer func() { <-room }()
-				addr := b.Addr
-				for _, o := range n.stated.Council { // as this broker sees it
-					if o.Broker == b.Owner {
-						addr = o.Addr
-					}
-				}
-				got, err := desk.Counters(ctx, addr)
-				if one.Counters = got; err != nil {
-					one.Failed = err.Error()
-				}
+				got, err := desk.Tell(ctx, n.reach(b.Owner, b.Addr))
+				told(i, got, err)
 			})
 		}
 	}
-	all.Wait()
-	slices.SortStableFunc(r.Brokers, func(a, b Reported) int { return strings.Compare(a.Broker, b.Broker) })
-	for _, b := range r.Brokers {
-		if b.Failed != "" {
-			continue
-		}
-		r.Heard++
-		for _, k := range slices.Sorted(maps.Keys(b.Counters)) {
-			r.Sums[k] += b.Counters[k]
-		}
-	}
-	return r, ctx.Err()
 }
 
 // write puts the report in its file, whole or not at all; not over one that was made under a higher token.
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -202,10 +202,28 @@
 	return a.Seen.Brokers, nil
 }
 
-// Counters asks one broker for its own.
-func (d Desk) Counters(ctx context.Context, addr string) (map[string]int64, error) {
+// Tell asks one broker how it does.
+func (d Desk) Tell(ctx context.Context, addr string) (Told, error) {
 	a, err := d.one(ctx, addr, question{Tell: true})
-	return a.Counters, err
+	if err == nil && a.Told == nil {
+		err = wire.ErrBad
+	}
+	if err != nil {
+		return Told{}, err
+	}
+	return *a.Told, nil
+}
+
+// Note asks the council for what a lease's holder has written down.
+func (d Desk) Note(ctx context.Context, name string) (lease.Note, error) {
+	a, err := d.lead(ctx, question{Look: &council.Look{From: name, Note: true}})
+	if err == nil && (a.Seen == nil || a.Seen.Note == nil) {
+		err = wire.ErrBad
+	}
+	if err != nil {
+		return lease.Note{}, err
+	}
+	return *a.Seen.Note, nil
 }
 
 // Watch waits until a lease is held by others than those with the known tokens, or ctx ends.
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -49,6 +49,8 @@
 		TickMS   int    // a tenth of the least time until a leader is replaced
 		Report   string // file of a report on the whole fleet, where this broker makes it
 		ReportS  int    // seconds between two
+		Roll     bool   // takes turns in rolls, and leads them from a seat
+		Restarts bool   // whatever started this broker starts it again
 		Seats    []Seat // Council, read; none: the fleet is off
 	}
 	Log struct {
@@ -97,6 +99,8 @@
 	text("fleet.dir", "the name of a folder", false, func(o *Options) *string { return &o.Fleet.Dir }, any4096),
 	text("fleet.report", "the name of a file, or \"\" for none", false, func(o *Options) *string { return &o.Fleet.Report }, any4096),
 	number("fleet.report_s", 1, 86_400, func(o *Options) *int { return &o.Fleet.ReportS }),
+	yes("fleet.roll", func(o *Options) *bool { return &o.Fleet.Roll }),
+	yes("fleet.restarts", func(o *Options) *bool { return &o.Fleet.Restarts }),
 	number("fleet.founding", 1, 1<<20, func(o *Options) *int { return &o.Fleet.Founding }),
 	number("fleet.ttl_ms", 400, 3_600_000, func(o *Options) *int { return &o.Fleet.TTLMS }),
 	number("fleet.drift_permille", 1, 200, func(o *Options) *int { return &o.Fleet.Drift }),
@@ -159,6 +163,9 @@
 		if f.Report != "" {
 			say("council", "got none, expected 3, 5 or 7 brokers as fleet.report is %q", f.Report)
 		}
+		if f.Roll {
+			say("council", "got none, expected 3, 5 or 7 brokers as fleet.roll is true")
+		}
 		return wrong
 	} else if n != 3 && n != 5 && n != 7 {
 		say("council", "got %d brokers, expected 3, 5 or 7: an even number bears no more losses than one less", n)
@@ -166,6 +173,12 @@
 	if f.Broker == "" {
 		say("broker", "got none, expected this broker's name, as fleet.council is given")
 	}
+	if f.Restarts && !f.Roll {
+		say("roll", "got false, expected true as fleet.restarts is true")
+	}
+	if f.Roll && f.Listen == "" {
+		say("listen", "got none, expected an address as fleet.roll is true: this broker has to be told its turn")
+	}
 	if f.Keys == "" {
 		say("keys", "got none, expected a file, as fleet.council is given")
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,9 +38,17 @@
 
 // Fleet is what a program adds that takes part in a fleet: docs/fleet.md.
 type Fleet struct {
-	Check func(o *options.Options) error                                                           // of what the options name: keys, a folder
-	Start func(o *options.Options, own func() map[string]int64, log *logrus.Logger) (Party, error) // own: this broker's counters
-	Ask   func(o *options.Options, a Ask) error                                                    // an operator's command; prints
+	Check func(o *options.Options) error // of what the options name: keys, a folder
+	Start func(o *options.Options, b *protocol.Boot, own Own, log *logrus.Logger) (Party, error)
+	Ask   func(o *options.Options, a Ask) error // an operator's command; prints
+}
+
+// Own is what the fleet may ask of this broker, from any goroutine.
+type Own struct {
+	Counters func() map[string]int64
+	Ready    func() bool
+	Switch   func() error // as SIGHUP does
+	Restart  func()       // as SIGTERM does; whatever started the program starts it again
 }
 
 // Party is this process's part in the fleet. Searches never wait for it.
@@ -58,11 +67,17 @@
 
 // Ask is what an operator asks of the fleet.
 type Ask struct {
-	What       string // status, leases or replace
+	What       string // status, leases, replace or roll
 	JSON       bool
 	From       string
 	Most       int
 	Seat, With string
+	Word       string // of a roll: status, begin, on, back, stop, skip or end
+	Act        string
+	AtOnce     int
+	Least      float64
+	Wait       time.Duration
+	Only       []string
 }
 
 // Back is a back end that shares the descriptors.
@@ -103,6 +118,23 @@
 				With string `arg:"" help:"The broker that gets it; it runs, with a blank folder and this council stated."`
 			} `cmd:"" help:"Give one seat to another broker."`
 		} `cmd:"" help:"Change the council, one seat at a time."`
+		Roll struct {
+			Status struct{} `cmd:"" default:"1" help:"How it stands (also without any word)."`
+			Begin  struct {
+				Act    string        `arg:"" enum:"restart,switch" help:"restart: each ends in good order and is started again by what started it; switch: each reads its settings again."`
+				AtOnce int           `help:"Brokers that may be out at a time." default:"1"`
+				Least  float64       `help:"Share of searches answered under which it stops; 0 for none." default:"0.9"`
+				Wait   time.Duration `help:"Within which a broker has gone and is back." default:"1m"`
+				Only   []string      `help:"These brokers only."`
+			} `cmd:"" help:"Take the brokers through it in turns."`
+			On   struct{} `cmd:"" help:"Go on, where it has stopped."`
+			Back struct{} `cmd:"" help:"Take those that have gone through it again, the last first; put the former files in place before."`
+			Stop struct{} `cmd:"" help:"Nobody more begins."`
+			Skip struct {
+				Broker string `arg:"" help:"The broker that is left out."`
+			} `cmd:"" help:"Leave a broker out."`
+			End struct{} `cmd:"" help:"Leave it as it stands."`
+		} `cmd:"" help:"Restarts or switches of settings, so many brokers at a time."`
 	} `cmd:"" help:"Ask the fleet that the options name."`
 }
 
@@ -127,7 +159,8 @@
 		return 2
 	}
 	switch c.Command() {
-	case "fleet status", "fleet leases", "fleet council replace <seat> <with>":
+	case "fleet status", "fleet leases", "fleet council replace <seat> <with>", "fleet roll status", "fleet roll begin <act>", "fleet roll on",
+		"fleet roll back", "fleet roll stop", "fleet roll skip <broker>", "fleet roll end":
 		if err := l.fleet(extra, strings.Fields(c.Command())); err != nil {
 			fmt.Fprintln(os.Stderr, name+":", err)
 			return 1
@@ -228,6 +261,13 @@
 	if a.What == "council" {
 		a.What, a.Seat, a.With = "replace", l.Fleet.Council.Replace.Seat, l.Fleet.Council.Replace.With
 	}
+	if a.What == "roll" {
+		r := &l.Fleet.Roll
+		a.Word, a.Act, a.AtOnce, a.Least, a.Wait, a.Only = command[2], r.Begin.Act, r.Begin.AtOnce, r.Begin.Least, r.Begin.Wait, r.Begin.Only
+		if a.Word == "skip" {
+			a.Only = []string{r.Skip.Broker}
+		}
+	}
 	return extra.Fleet.Ask(o, a)
 }
 
@@ -333,8 +373,10 @@
 	}
 
 	var party Party
+	asked := wishes{turns: make(chan chan error), restart: make(chan struct{}, 1), over: make(chan struct{})}
+	defer close(asked.over)
 	if len(chosen.Fleet.Seats) > 0 {
-		if party, err = extra.Fleet.Start(chosen, func() map[string]int64 { return tally(router, tripper) }, log); err != nil {
+		if party, err = extra.Fleet.Start(chosen, boot, asked.own(router, tripper), log); err != nil {
 			return err
 		}
 		log.WithField("broker", chosen.Fleet.Broker).WithField("listen", party.Addr()).Info("in the fleet")
@@ -368,70 +410,94 @@
 	}
 	log.WithField("name", boot.Name).WithField("listen", server.Addr()).WithField("nodes", len(boot.Known.Hosts)).
 		WithField("memory", debug.SetMemoryLimit(-1)).WithField("processors", runtime.GOMAXPROCS(0)).Info("serving")
+	asked.serving.Store(true)
 
 	longest := boot.Longest // of all settings so far: what is in hand goes by those it came under
-	for draining := false; ; {
+	reload := func() error {
+		again, newer, err := l.read(extra)
+		if err != nil {
+			log.WithError(err).Error("the configuration could not be read again, the running one stays")
+			return err
+		}
+		limit(again)
+		apply(log, newer)
+		if party != nil {
+			if err := party.Rekey(); err != nil {
+				log.WithError(err).Error("fleet: the keys could not be read again, the running ones stay")
+			}
+		}
+		fixed := boot.Differs(again) // with any of these, none of the settings holds
+		if leaves != nil && !boot.Links(again.Deployment) {
+			fixed = append(fixed, "settings.policyLimits (with flight.leaves)")
+		}
+		restart := append(slices.Clone(fixed), chosen.Differs(newer)...)
+		switched, moved := false, !boot.Layout(again.Deployment)
+		if len(fixed) == 0 && !boot.Same(again.Deployment) {
+			if err := router.Restate(again.Deployment, again.Known); err != nil {
+				log.WithError(err).Error("the configuration could not be put in force, the running one stays")
+				return err
+			}
+			fleet.Restate(stated(again, tick))
+			server.Restate(again.Longest)
+			longest = max(longest, again.Longest)
+			boot.Deployment, switched = again.Deployment, true
+		}
+		if switched && moved {
+			list.Rewind(again.Discovery, again.Known)
+		} else {
+			list.Move(again.Discovery)
+		}
+		log.WithField("discovery", again.Discovery).WithField("switched", switched).WithField("restart", restart).
+			Info("configuration read again")
+		if len(restart) > 0 {
+			return fmt.Errorf("only a restart puts in force: %s", strings.Join(restart, ", "))
+		}
+		return nil
+	}
+	draining := false
+	drain := func() {
+		draining = true
+		asked.serving.Store(false)
+		bound := late + longest
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), bound)
+			defer cancel()
+			var doors sync.WaitGroup
+			if door != nil {
+				doors.Go(func() { door.Drain(ctx, late) })
+			}
+			if party != nil { // leases first of all: others wait for them
+				doors.Go(func() { party.Close(ctx) })
+			}
+			server.Drain(ctx, late)
+			doors.Wait()
+			close(drained)
+		}()
+	}
+	for {
 		select {
 		case s := <-signals:
 			switch {
 			case s == syscall.SIGUSR1:
 				counters()
 			case s == syscall.SIGHUP:
-				again, newer, err := l.read(extra)
-				if err != nil {
-					log.WithError(err).Error("the configuration could not be read again, the running one stays")
-					break
-				}
-				limit(again)
-				apply(log, newer)
-				if party != nil {
-					if err := party.Rekey(); err != nil {
-						log.WithError(err).Error("fleet: the keys could not be read again, the running ones stay")
-					}
-				}
-				fixed := boot.Differs(again) // with any of these, none of the settings holds
-				if leaves != nil && !boot.Links(again.Deployment) {
-					fixed = append(fixed, "settings.policyLimits (with flight.leaves)")
-				}
-				restart := append(slices.Clone(fixed), chosen.Differs(newer)...)
-				switched, moved := false, !boot.Layout(again.Deployment)
-				if len(fixed) == 0 && !boot.Same(again.Deployment) {
-					if err := router.Restate(again.Deployment, again.Known); err != nil {
-						log.WithError(err).Error("the configuration could not be put in force, the running one stays")
-						break
-					}
-					fleet.Restate(stated(again, tick))
-					server.Restate(again.Longest)
-					longest = max(longest, again.Longest)
-					boot.Deployment, switched = again.Deployment, true
-				}
-				if switched && moved {
-					list.Rewind(again.Discovery, again.Known)
-				} else {
-					list.Move(again.Discovery)
-				}
-				log.WithField("discovery", again.Discovery).WithField("switched", switched).WithField("restart", restart).
-					Info("configuration read again")
+				reload()
 			case draining:
 				return errors.New("a second signal came while draining")
 			default:
-				draining = true
 				log.WithField("signal", s.String()).Info("draining")
-				bound := late + longest
-				go func() {
-					ctx, cancel := context.WithTimeout(context.Background(), bound)
-					defer cancel()
-					var doors sync.WaitGroup
-					if door != nil {
-						doors.Go(func() { door.Drain(ctx, late) })
-					}
-					if party != nil { // leases first of all: others wait for them
-						doors.Go(func() { party.Close(ctx) })
-					}
-					server.Drain(ctx, late)
-					doors.Wait()
-					close(drained)
-				}()
+				drain()
+			}
+		case told := <-asked.turns:
+			if draining {
+				told <- errDraining
+			} else {
+				told <- reload()
+			}
+		case <-asked.restart:
+			if !draining {
+				log.Info("draining to be started again")
+				drain()
 			}
 		case err := <-served:
 			if err != nil {
@@ -453,6 +519,39 @@
 	}
 }
 
+// errDraining answers a switch that comes while the program ends.
+var errDraining = errors.New("this broker is draining")
+
+// wishes are what the fleet asks of the program's own goroutine.
+type wishes struct {
+	turns   chan chan error
+	restart chan struct{}
+	over    chan struct{} // closed when the program has ended
+	serving atomic.Bool   // it has said that it serves, and is not draining
+}
+
+func (w *wishes) own(router *routing.Router, tripper *routing.Tripper) Own {
+	return Own{
+		Counters: func() map[string]int64 { return tally(router, tripper) },
+		Ready:    func() bool { return w.serving.Load() && router.Ready() },
+		Switch: func() error {
+			told := make(chan error, 1)
+			select {
+			case w.turns <- told:
+				return <-told
+			case <-w.over:
+				return errDraining
+			}
+		},
+		Restart: func() {
+			select {
+			case w.restart <- struct{}{}:
+			default: // asked already
+			}
+		},
+	}
+}
+
 // apply puts in force what an operator can change while the program runs.
 func apply(log *logrus.Logger, o *options.Options) {
 	if level, err := logrus.ParseLevel(o.Log.Level); err == nil {
--- a/internal/program/withfleet/withfleet.go
+++ b/internal/program/withfleet/withfleet.go
@@ -21,14 +21,16 @@
 	"brackenfront/internal/fleet/wire"
 	"brackenfront/internal/options"
 	"brackenfront/internal/program"
+	"brackenfront/internal/protocol"
 	"brackenfront/lease"
+	"brackenfront/roll"
 )
 
 // Fleet adds leases and what stands on them.
 func Fleet() *program.Fleet {
-	return &program.Fleet{Check: check, Start: func(o *options.Options, own func() map[string]int64, log *logrus.Logger) (program.Party, error) {
+	return &program.Fleet{Check: check, Start: func(o *options.Options, b *protocol.Boot, own program.Own, log *logrus.Logger) (program.Party, error) {
 		s := stated(o)
-		s.Counters = own
+		s.Own = fleet.Own(own)
 		return fleet.Start(s, fleet.Real(), log)
 	}, Ask: ask}
 }
@@ -38,7 +40,8 @@
 	terms := lease.Usual() // here, as a program without the fleet does without its libraries
 	terms.TTL, terms.Drift = float64(f.TTLMS)/1e3, float64(f.Drift)/1e3
 	return fleet.Stated{Broker: f.Broker, Listen: f.Listen, Keys: f.Keys, Dir: f.Dir, Council: seats(o), Founding: uint32(f.Founding),
-		Terms: terms, Tick: time.Duration(f.TickMS) * time.Millisecond, Report: f.Report, Every: time.Duration(f.ReportS) * time.Second}
+		Terms: terms, Tick: time.Duration(f.TickMS) * time.Millisecond, Report: f.Report, Every: time.Duration(f.ReportS) * time.Second,
+		Roll: f.Roll, Again: f.Restarts}
 }
 
 func seats(o *options.Options) (all []fleet.Named) {
@@ -102,6 +105,8 @@
 		return nil
 	case "replace":
 		return desk.Replace(ctx, fleet.Replace{Seat: a.Seat, With: a.With})
+	case "roll":
+		return rolling(ctx, desk, a)
 	}
 	all, failed := desk.Statuses(ctx)
 	if a.JSON {
@@ -124,6 +129,73 @@
 	return nil
 }
 
+// words are those of the command line.
+var words = map[string]roll.Do{"begin": roll.Begin, "on": roll.On, "back": roll.Back, "stop": roll.Stop, "skip": roll.Skip, "end": roll.End}
+
+func rolling(ctx context.Context, desk fleet.Desk, a program.Ask) (err error) {
+	var p roll.Plan
+	if a.Word == "status" {
+		p, err = desk.Roll(ctx)
+	} else {
+		w := roll.Word{Do: words[a.Word], Act: roll.Restart, AtOnce: a.AtOnce, Least: a.Least, Wait: a.Wait.Seconds(), Only: a.Only}
+		if a.Act == roll.Switch.String() {
+			w.Act = roll.Switch
+		}
+		p, err = desk.Say(ctx, w)
+	}
+	if err != nil {
+		return err
+	}
+	counts := map[string]int{}
+	for _, t := range p.Turns {
+		counts[t.Step.String()]++
+	}
+	if a.JSON {
+		type turn struct {
+			Broker string `json:"broker"`
+			Seat   bool   `json:"seat,omitempty"`
+			Step   string `json:"step"`
+			Why    string `json:"why,omitempty"`
+		}
+		out := struct {
+			Act    string         `json:"act,omitempty"`
+			Back   bool           `json:"back,omitempty"`
+			Stage  string         `json:"stage"`
+			Why    string         `json:"why,omitempty"`
+			AtOnce int            `json:"at_once,omitempty"`
+			Counts map[string]int `json:"counts,omitempty"`
+			Turns  []turn         `json:"turns,omitempty"`
+		}{p.Act.String(), p.Back, p.Stage.String(), p.Why, p.AtOnce, counts, nil}
+		for _, t := range p.Turns {
+			out.Turns = append(out.Turns, turn{t.Broker, t.Seat, t.Step.String(), t.Why})
+		}
+		return show(out)
+	}
+	if p.Stage == roll.None {
+		fmt.Println("no roll yet")
+		return nil
+	}
+	what := p.Act.String()
+	if p.Back {
+		what += ", back"
+	}
+	fmt.Printf("%s, %d at once: %s", what, p.AtOnce, p.Stage)
+	if p.Why != "" {
+		fmt.Printf(" (%s)", p.Why)
+	}
+	fmt.Println()
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "broker\tcouncil\tstep\twhy")
+	for _, t := range p.Turns {
+		seat := ""
+		if t.Seat {
+			seat = "seat"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", t.Broker, seat, t.Step, t.Why)
+	}
+	return w.Flush()
+}
+
 func show(v any) error {
 	out := json.NewEncoder(os.Stdout)
 	out.SetIndent("", "  ")
--- a/lease/state.go
+++ b/lease/state.go
@@ -366,11 +366,13 @@
 	Left  float64 `cbor:"3,keyasint" json:"left"` // seconds until its session ends unless it renews
 }
 
-// Brokers lists the sessions, in the order they were opened.
+// Brokers lists the sessions that have an owner, in the order they were opened. An operator's has none.
 func (s *State) Brokers() []Broker {
 	all := make([]Broker, 0, len(s.sessions))
 	for _, p := range s.sessions {
-		all = append(all, Broker{p.Owner, p.Addr, p.Until - s.now})
+		if p.Owner != "" {
+			all = append(all, Broker{p.Owner, p.Addr, p.Until - s.now})
+		}
 	}
 	return all
 }
