--- a/internal/fleetrig/body.go
+++ b/internal/fleetrig/body.go
@@ -56,6 +56,7 @@
 
 // Body runs this process by the orders in the environment, if there are any, and does not return then.
 func Body() {
+	asProgram()
 	raw := os.Getenv("FLEETRIG_ORDERS")
 	if raw == "" {
 		return
--- /dev/null
+++ b/internal/fleetrig/rolls_test.go
@@ -0,0 +1,46 @@
+package fleetrig
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"brackenfront/roll"
+)
+
+// TestRolls restarts a whole fleet of the program's own processes in turns, under load and with faults beside it by seed:
+// no more are out at a time than may be, of the council one, each is restarted once, and the roll ends.
+func TestRolls(t *testing.T) {
+	plays := []Rolling{{Seed: 1, Faults: 3}, {Seed: 2, Faults: 4}}
+	if *seed > 0 {
+		plays = nil
+		for i := range uint64(*runs) {
+			plays = append(plays, Rolling{Seed: *seed + i, Faults: 4})
+		}
+	}
+	for _, r := range plays {
+		r.Brokers, r.Seats, r.AtOnce, r.Act, r.Dir = 7, 3, 2, roll.Restart, t.TempDir()
+		res, err := r.Run(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(res.Bad) > 0 {
+			t.Errorf("seed %d: %s\nfaults:\n%s\n%s", r.Seed, strings.Join(res.Bad, "\n"), strings.Join(res.Faults, "\n"), res.Logs)
+		}
+		t.Logf("seed %d: %d out at most, %v, %d searches, %.3f answered, %.3f in the worst second; %s", r.Seed, res.Most, res.Took, res.Asked, res.Share, res.Worst,
+			strings.Join(res.Faults, ", "))
+	}
+}
+
+// TestRollByHand: a loop that waits a fixed time between brokers takes more out at a time than it means to: the judge has
+// to find that.
+func TestRollByHand(t *testing.T) {
+	res, err := Rolling{Seed: 1, Brokers: 5, Seats: 3, AtOnce: 1, ByHand: true, Dir: t.TempDir()}.Run(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(res.Bad) == 0 || res.Most < 2 {
+		t.Errorf("the judge found nothing: %+v", res)
+	}
+	t.Logf("%d out at most, %.3f answered, %.3f in the worst second", res.Most, res.Share, res.Worst)
+}
