Trials of nodes that are out by one broker of a hall for all, heard by the others as news

A pure module, trials: whoever holds the hall's lease tries, and what it found stands in for a try of the others' own; it weighs less than that. 'Back' lets one part of their own go there, which decides; 'out' is believed for so long; where accounts differ all try for themselves; without news in time each does as before. The decision module is unchanged: it wishes a probe and is told how it went (Router.Consult). News go by way of the council's leader, outside the log, bounded, under the names of the hellos. fleet.trials, off by default, not with halls.guard.

--- a/balance/state.go
+++ b/balance/state.go
@@ -263,6 +263,9 @@
 // Tries is how many sub-requests a part has had.
 func (q *Search) Tries(i int) int { return q.parts[i].tries }
 
+// Active is whether the node list names a node and says that it runs.
+func (b *Broker) Active(node int) bool { return b.nodes[node].standing == Active }
+
 // Halls is the guard on whole halls, for looking at; nil for none.
 func (b *Broker) Halls() *halls.Guard { return b.halls }
 
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -13,6 +13,7 @@
 	"brackenfront/internal/fleet/council"
 	"brackenfront/internal/fleet/wire"
 	"brackenfront/lease"
+	"brackenfront/trials"
 )
 
 // client is this process's session with the council: one goroutine owns it.
@@ -376,6 +377,9 @@
 	}
 	l := &link{conn, make(chan question, queued), make(chan struct{})}
 	c.link, c.fresh, c.waiting = l, true, 0
+	if c.n.trial != nil { // the news of the hall are for us
+		l.send(question{News: &News{Hall: c.n.stated.Hall}})
+	}
 	var writer sync.WaitGroup
 	writer.Go(func() {
 		for {
@@ -406,6 +410,12 @@
 				if err = wire.Unpack(raw, &g); err == nil {
 					f = func() { c.session.News(c.n.world.Now(), g) }
 				}
+			case kind == frameFacts && c.n.trial != nil:
+				var all []trials.Fact
+				if err = wire.Unpack(raw, &all); err == nil {
+					c.n.trial.heard(all)
+					continue
+				}
 			default:
 				err = wire.ErrBad
 			}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -16,6 +16,7 @@
 	"brackenfront/internal/fleet/wire"
 	"brackenfront/lease"
 	"brackenfront/roll"
+	"brackenfront/trials"
 )
 
 // Named is one broker of the council, as the operators' file names it.
@@ -35,6 +36,8 @@
 	Report string        // file that a report on the whole fleet goes to, where this broker makes it; empty for none
 	Every  time.Duration // how often
 	Roll   bool          // takes turns in a switch of settings, and leads rolls where it has a seat
+	Trials bool          // nodes that are out are tried by one broker of a hall on behalf of the others
+	Hall   string        // this broker's, for that
 	Again  bool          // whatever started this process starts it again when it has ended in good order: it takes turns in restarts
 	Own    Own           `json:"-"`
 }
@@ -82,6 +85,7 @@
 	acting  map[string]bool // tasks that have not returned
 	did     did             // this process's last turn in a roll
 	taking  sync.Mutex      // one at a time
+	trial   *trialist       // nil where trials are not shared
 }
 
 // Start joins the fleet. An error is of what was stated, or of what this process cannot have: a listener, a folder.
@@ -114,6 +118,11 @@
 		n.all.Go(func() { n.seat.run(ctx) })
 	}
 	n.client = n.newClient()
+	if s.Trials {
+		n.trial = n.newTrialist()
+		n.all.Go(func() { n.trial.run(ctx) })
+		n.all.Go(func() { n.stand(ctx, trialsLease+s.Hall, n.trial.lead) })
+	}
 	n.all.Go(func() { n.client.run(ctx) })
 	if s.Report != "" {
 		n.all.Go(func() { n.stand(ctx, reportLease, n.reports) })
@@ -295,6 +304,7 @@
 	frameAsk    = 'q'
 	frameAnswer = 'a'
 	frameNews   = 'n'
+	frameFacts  = 't' // news of nodes
 )
 
 // question is what a client asks.
@@ -306,6 +316,7 @@
 	Replace *Replace      `cbor:"5,keyasint,omitempty"`
 	Tell    bool          `cbor:"6,keyasint,omitempty"` // how the broker itself does
 	Order   *roll.Order   `cbor:"7,keyasint,omitempty"` // it is its turn in a roll
+	News    *News         `cbor:"8,keyasint,omitempty"` // of nodes, for the brokers of a hall; it has no answer
 }
 
 // Replace asks that a broker's seat goes to another broker, which runs with a blank disk and this council stated.
@@ -338,9 +349,15 @@
 
 // caller is a client's connection, on the side that answers.
 type caller struct {
-	c    *wire.Conn
-	out  chan answered
-	news chan lease.Grant
+	c      *wire.Conn
+	out    chan answered
+	news   chan lease.Grant
+	facts  chan []trials.Fact
+	broker string
+	hall   string // news of nodes are for the callers of one
+	hears  bool
+	since  int // tick, and how many facts it has told since
+	told   int
 }
 
 // tell queues an answer; one whose client does not read is closed.
@@ -354,7 +371,7 @@
 
 // answer serves a client's connection until it ends.
 func (n *Node) answer(ctx context.Context, c *wire.Conn, theirs wire.Hello) error {
-	me := &caller{c, make(chan answered, queued), make(chan lease.Grant, queued)}
+	me := &caller{c: c, out: make(chan answered, queued), news: make(chan lease.Grant, queued), facts: make(chan []trials.Fact, queued), broker: theirs.Broker}
 	gone := make(chan struct{})
 	var writer sync.WaitGroup
 	writer.Go(func() {
@@ -365,6 +382,8 @@
 				err = c.Write(frameAnswer, wire.Pack(a))
 			case g := <-me.news:
 				err = c.Write(frameNews, wire.Pack(g))
+			case f := <-me.facts:
+				err = c.Write(frameFacts, wire.Pack(f))
 			case <-gone:
 				return
 			}
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -33,6 +33,7 @@
 	asks   map[uint64]asked
 	handle uint64
 	news   map[lease.ID]*caller
+	hears  map[*caller]bool // those that news of nodes are for
 	ticks  int
 	lead   uint64
 	life   context.Context // the seat's: what it starts goes on beyond the connection that was the reason
@@ -62,7 +63,7 @@
 
 func (n *Node) newSeat() (*seat, error) {
 	s := &seat{n: n, inbox: make(chan func(), inboxed), over: make(chan struct{}), peers: map[string]*peer{},
-		heard: map[string]*heard{}, marks: map[uint64]mark{}, asks: map[uint64]asked{}, news: map[lease.ID]*caller{}}
+		heard: map[string]*heard{}, marks: map[uint64]mark{}, asks: map[uint64]asked{}, news: map[lease.ID]*caller{}, hears: map[*caller]bool{}}
 	if err := s.open(); err != nil {
 		return nil, err
 	}
@@ -511,6 +512,8 @@
 			s.news[q.Call.Session] = by // others learn with their next answer
 		}
 		s.member.Ask(council.Request{Handle: s.handle, Call: q.Call, Look: q.Look})
+	case q.News != nil:
+		s.relay(by, q.News)
 	default:
 		by.tell(answered{Handle: q.Handle, Err: "nothing was asked"})
 	}
@@ -537,6 +540,7 @@
 
 // gone forgets a client whose connection has ended.
 func (s *seat) gone(c *caller) {
+	delete(s.hears, c)
 	for h, a := range s.asks {
 		if a.by == c {
 			delete(s.asks, h)
--- /dev/null
+++ b/internal/fleet/trial.go
@@ -0,0 +1,249 @@
+package fleet
+
+import (
+	"context"
+	"encoding/binary"
+	"math"
+	"time"
+
+	"brackenfront/chance"
+	"brackenfront/trials"
+)
+
+// trialsLease, with the hall's name behind it, is held by the broker that tries nodes for its hall.
+const trialsLease = "fleet-trials/"
+
+const (
+	mostFacts = 256 // in one message, and that one broker may tell in ten ticks
+)
+
+// News are facts about nodes, for the brokers of a hall. Without facts it says that the sender wants to hear them.
+type News struct {
+	Hall  string        `cbor:"1,keyasint,omitempty"`
+	Facts []trials.Fact `cbor:"2,keyasint,omitempty"`
+}
+
+// trialist has wishes to try nodes met by what others have found: one goroutine owns its book.
+type trialist struct {
+	n     *Node
+	book  *trials.Book
+	probe func(addr string, told func(ok, tried bool))
+	inbox chan func()
+	over  chan struct{}
+	waits map[string][]func(ok bool) // the module's wishes that are not met yet
+}
+
+func (n *Node) newTrialist() *trialist {
+	rnd, seed := &chance.Source{}, [8]byte{}
+	n.world.Random(seed[:])
+	rnd.Seed(binary.BigEndian.Uint64(seed[:]))
+	return &trialist{n: n, book: trials.New(n.stated.Broker, rnd), inbox: make(chan func(), inboxed), over: make(chan struct{}), waits: map[string][]func(bool){}}
+}
+
+// Tries is whether trials are shared in this fleet.
+func (n *Node) Tries() bool { return n.trial != nil }
+
+// Bind says how this broker tries a node itself: told is called once, from any goroutine, and says whether it was tried at
+// all. It has to come before the first Try.
+func (n *Node) Bind(probe func(addr string, told func(ok, tried bool))) {
+	n.trial.do(func() { n.trial.probe = probe })
+}
+
+// Try takes a wish to have a node tried; it waits for nothing, and told is called once, from any goroutine. False: the caller
+// has to try it.
+func (n *Node) Try(addr string, told func(ok bool)) bool {
+	t := n.trial
+	select {
+	case <-t.over:
+		return false
+	default:
+	}
+	select {
+	case t.inbox <- func() { t.ask(addr, told) }:
+		return true
+	default: // so many wait that it would come late
+		t.n.count("trial crowded")
+		return false
+	}
+}
+
+func (t *trialist) do(f func()) bool {
+	select {
+	case t.inbox <- f:
+		return true
+	case <-t.over:
+		return false
+	}
+}
+
+// heard takes news; what there is no room for is not missed for long.
+func (t *trialist) heard(all []trials.Fact) {
+	select {
+	case t.inbox <- func() {
+		for _, f := range all {
+			t.met(f.Node, t.book.Hear(t.n.world.Now(), f))
+		}
+	}:
+	default:
+		t.n.count("news dropped")
+	}
+}
+
+// lead tries for the hall as long as the lease is held. Two at it do no harm: a node is probed twice. None at it: each
+// broker tries for itself after a moment.
+func (t *trialist) lead(ctx context.Context, _ *Turn) error {
+	t.do(func() { t.book.Lead(true) })
+	<-ctx.Done()
+	t.do(func() { t.book.Lead(false) })
+	return nil
+}
+
+func (t *trialist) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		now := t.n.world.Now()
+		for {
+			name, ok, again := t.book.Due(now)
+			if !ok {
+				wait := time.Hour
+				if !math.IsInf(again, 1) {
+					wait = time.Duration(max(again-now, 0.001) * float64(time.Second))
+				}
+				timer.Reset(wait)
+				break
+			}
+			t.met(name, trials.Own)
+		}
+		t.tell()
+		select {
+		case f := <-t.inbox:
+			f()
+		case <-timer.C:
+		case <-ctx.Done():
+			close(t.over)
+			for { // who waits is told what is true of this broker: it has found nothing
+				select {
+				case f := <-t.inbox:
+					f()
+				default:
+					for addr := range t.waits {
+						t.found(addr, false)
+					}
+					return
+				}
+			}
+		}
+	}
+}
+
+// tell hands what others should hear to whoever this process asks of the council.
+func (t *trialist) tell() {
+	say := t.book.Say()
+	if len(say) == 0 {
+		return
+	}
+	q := question{News: &News{Hall: t.n.stated.Hall, Facts: append([]trials.Fact(nil), say[:min(len(say), mostFacts)]...)}}
+	c := t.n.client
+	select {
+	case c.inbox <- func() {
+		if c.link != nil {
+			c.link.send(q)
+		}
+	}:
+	case <-c.over:
+	default:
+		t.n.count("news dropped")
+	}
+}
+
+func (t *trialist) ask(addr string, told func(ok bool)) {
+	t.waits[addr] = append(t.waits[addr], told)
+	t.met(addr, t.book.Ask(t.n.world.Now(), addr))
+}
+
+// met does what the book says of a node.
+func (t *trialist) met(addr string, v trials.Verdict) {
+	switch v {
+	case trials.Back, trials.Out:
+		t.found(addr, v == trials.Back)
+	case trials.Own:
+		if t.probe == nil {
+			t.book.Untried(t.n.world.Now(), addr)
+			t.found(addr, false)
+			return
+		}
+		t.probe(addr, func(ok, tried bool) {
+			t.do(func() {
+				if tried {
+					t.book.Found(t.n.world.Now(), addr, ok)
+				} else {
+					t.book.Untried(t.n.world.Now(), addr)
+				}
+				t.found(addr, ok)
+			})
+		})
+	}
+}
+
+// found tells all who wait for a node.
+func (t *trialist) found(addr string, ok bool) {
+	all := t.waits[addr]
+	delete(t.waits, addr)
+	for _, told := range all {
+		told(ok)
+	}
+}
+
+// relay passes news of nodes on: a wish to whoever tries for the hall, all else to the hall's others. The sender's name is
+// what its hello said.
+func (s *seat) relay(by *caller, news *News) {
+	by.hears, by.hall = true, news.Hall
+	if len(s.hears) < mostConns {
+		s.hears[by] = true
+	}
+	if s.ticks-by.since >= 10 {
+		by.since, by.told = s.ticks, 0
+	}
+	by.told += len(news.Facts)
+	if len(news.Facts) == 0 || by.told > mostFacts || s.member.State() == nil {
+		if by.told > mostFacts {
+			s.n.count("news dropped")
+		}
+		return
+	}
+	var wishes, facts []trials.Fact
+	for _, f := range news.Facts {
+		f.By = by.broker
+		switch {
+		case !f.Check():
+		case f.Kind == trials.Wanted:
+			wishes = append(wishes, f)
+		default:
+			facts = append(facts, f)
+		}
+	}
+	if len(wishes) > 0 {
+		for _, id := range s.member.State().Holders(trialsLease + news.Hall) {
+			s.pass(s.news[id], by, wishes)
+		}
+	}
+	if len(facts) > 0 {
+		for c := range s.hears {
+			if c.hall == news.Hall {
+				s.pass(c, by, facts)
+			}
+		}
+	}
+}
+
+func (s *seat) pass(to, by *caller, facts []trials.Fact) {
+	if to == nil || to == by || !to.hears {
+		return
+	}
+	select {
+	case to.facts <- facts:
+	default:
+		s.n.count("news dropped")
+	}
+}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -50,6 +50,7 @@
 		Report   string // file of a report on the whole fleet, where this broker makes it
 		ReportS  int    // seconds between two
 		Roll     bool   // takes turns in rolls, and leads them from a seat
+		Trials   bool   // nodes that are out are tried by one broker of a hall for all
 		Restarts bool   // whatever started this broker starts it again
 		Seats    []Seat // Council, read; none: the fleet is off
 	}
@@ -100,6 +101,7 @@
 	text("fleet.report", "the name of a file, or \"\" for none", false, func(o *Options) *string { return &o.Fleet.Report }, any4096),
 	number("fleet.report_s", 1, 86_400, func(o *Options) *int { return &o.Fleet.ReportS }),
 	yes("fleet.roll", func(o *Options) *bool { return &o.Fleet.Roll }),
+	yes("fleet.trials", func(o *Options) *bool { return &o.Fleet.Trials }),
 	yes("fleet.restarts", func(o *Options) *bool { return &o.Fleet.Restarts }),
 	number("fleet.founding", 1, 1<<20, func(o *Options) *int { return &o.Fleet.Founding }),
 	number("fleet.ttl_ms", 400, 3_600_000, func(o *Options) *int { return &o.Fleet.TTLMS }),
@@ -163,8 +165,8 @@
 		if f.Report != "" {
 			say("council", "got none, expected 3, 5 or 7 brokers as fleet.report is %q", f.Report)
 		}
-		if f.Roll {
-			say("council", "got none, expected 3, 5 or 7 brokers as fleet.roll is true")
+		if f.Roll || f.Trials {
+			say("council", "got none, expected 3, 5 or 7 brokers as fleet.roll or fleet.trials is true")
 		}
 		return wrong
 	} else if n != 3 && n != 5 && n != 7 {
@@ -173,6 +175,9 @@
 	if f.Broker == "" {
 		say("broker", "got none, expected this broker's name, as fleet.council is given")
 	}
+	if f.Trials && o.Halls.Guard {
+		say("trials", "got true, expected false with halls.guard: what is news of a node would pass for the broker's own knowledge of its hall")
+	}
 	if f.Restarts && !f.Roll {
 		say("roll", "got false, expected true as fleet.restarts is true")
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -57,6 +57,9 @@
 	Rekey() error
 	Report()
 	Close(ctx context.Context)
+	routing.Trials
+	Tries() bool // whether trials of nodes go by way of it
+	Bind(probe func(addr string, told func(ok, tried bool)))
 }
 
 // Extra is what a build has beside the daemon.
@@ -379,6 +382,10 @@
 		if party, err = extra.Fleet.Start(chosen, boot, asked.own(router, tripper), log); err != nil {
 			return err
 		}
+		if party.Tries() {
+			party.Bind(router.Try)
+			router.Consult(party)
+		}
 		log.WithField("broker", chosen.Fleet.Broker).WithField("listen", party.Addr()).Info("in the fleet")
 	}
 
--- a/internal/program/withfleet/withfleet.go
+++ b/internal/program/withfleet/withfleet.go
@@ -30,7 +30,7 @@
 func Fleet() *program.Fleet {
 	return &program.Fleet{Check: check, Start: func(o *options.Options, b *protocol.Boot, own program.Own, log *logrus.Logger) (program.Party, error) {
 		s := stated(o)
-		s.Own = fleet.Own(own)
+		s.Own, s.Hall = fleet.Own(own), b.Zone
 		return fleet.Start(s, fleet.Real(), log)
 	}, Ask: ask}
 }
@@ -41,7 +41,7 @@
 	terms.TTL, terms.Drift = float64(f.TTLMS)/1e3, float64(f.Drift)/1e3
 	return fleet.Stated{Broker: f.Broker, Listen: f.Listen, Keys: f.Keys, Dir: f.Dir, Council: seats(o), Founding: uint32(f.Founding),
 		Terms: terms, Tick: time.Duration(f.TickMS) * time.Millisecond, Report: f.Report, Every: time.Duration(f.ReportS) * time.Second,
-		Roll: f.Roll, Again: f.Restarts}
+		Roll: f.Roll, Again: f.Restarts, Trials: f.Trials}
 }
 
 func seats(o *options.Options) (all []fleet.Named) {
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -116,9 +116,37 @@
 	r.leaving = r.leaving[:0]
 }
 
+// Trials may stand between the module's wish to have a node tried and the try: others may have tried it. Try is called on
+// the router's goroutine and waits for nothing; false says that it is not taken, and the router tries by itself. Else told
+// is called once, from any goroutine, with what the module is to hear.
+type Trials interface {
+	Try(addr string, told func(ok bool)) bool
+}
+
+// Consult has wishes to try nodes go by way of t. It has to come before Start.
+func (r *Router) Consult(t Trials) { r.trials = t }
+
+// Try tries a node of the list by its address, for whoever tries for others; one that the list does not name as running is
+// not tried. It may wait for the router's queue; told is called once, from any goroutine.
+func (r *Router) Try(addr string, told func(ok, tried bool)) {
+	if !r.post(func() {
+		at := slices.Index(r.addrs, addr)
+		if at < 0 || !r.broker.Active(at) {
+			go told(false, false) // it may wait, which the router must not
+			return
+		}
+		r.via[at].Probe(addr, func(ok bool) { told(ok, true) })
+	}) {
+		told(false, false)
+	}
+}
+
 func (r *Router) Probe(node int) {
 	r.count.Probed++
-	r.via[node].Probe(r.addrs[node], func(ok bool) { r.post(func() { r.broker.Probed(node, ok) }) })
+	told := func(ok bool) { r.post(func() { r.broker.Probed(node, ok) }) }
+	if r.trials == nil || !r.trials.Try(r.addrs[node], told) {
+		r.via[node].Probe(r.addrs[node], told)
+	}
 }
 
 func (r *Router) Renew(node int, quiet float64) {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -22,6 +22,7 @@
 	live   atomic.Pointer[protocol.Deployment] // the same, for all others
 	backs  []Leaves                            // for nodes that speak in frames, then for those that speak Flight, if there is one
 	known  protocol.Listing
+	trials Trials // nil: the router tries nodes by itself
 	follow func() // starts the watch where the list has to be asked for
 	calls  chan func()
 	halt   chan struct{}
--- a/lease/state.go
+++ b/lease/state.go
@@ -359,6 +359,16 @@
 	return o
 }
 
+// Holders are the sessions that hold a place of a lease.
+func (s *State) Holders(name string) (all []ID) {
+	if l := s.lines[name]; l != nil {
+		for _, g := range l.Held {
+			all = append(all, g.Session)
+		}
+	}
+	return all
+}
+
 // Broker is one process with a session.
 type Broker struct {
 	Owner string  `cbor:"1,keyasint" json:"broker"`
--- a/measure/leases/main.go
+++ b/measure/leases/main.go
@@ -23,6 +23,7 @@
 	faults := flag.Int("faults", 10, "in each")
 	kept := flag.String("kept", "", "folder for the logs of runs that fail")
 	asks := flag.Int("searches", 0, "measure so many searches beside the fleet, in each of its states, alone")
+	shared := flag.Bool("trials", false, "measure trials of nodes that are out, alone")
 	load := flag.Bool("load", false, "measure the load on one council alone")
 	sessions := flag.Int("sessions", 300, "on one council")
 	changes := flag.Int("changes", 1_000_000, "of leases")
@@ -37,6 +38,13 @@
 	}
 	fmt.Printf("%-58s %-34s %-30s\n", "figure", "measured", "must")
 
+	if *shared {
+		sharing(*seed, must)
+		if !ok {
+			os.Exit(1)
+		}
+		return
+	}
 	if *asks > 0 {
 		searches(*asks, must)
 		if !ok {
--- /dev/null
+++ b/measure/leases/trials.go
@@ -0,0 +1,278 @@
+package main
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+
+	"brackenfront/balance"
+	"brackenfront/chance"
+	"brackenfront/trials"
+)
+
+// A model in virtual time: brokers with the shipped decision module and the shipped book of trials, nodes one of which is
+// out for a while, and news that take some milliseconds. What the fleet's goroutines do is played by events.
+
+type event struct {
+	at  float64
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any     { o := *q; e := o[len(o)-1]; *q = o[:len(o)-1]; return e }
+
+type model struct {
+	now     float64
+	q       events
+	seq     int
+	rnd     chance.Source
+	all     []*modelled
+	shared  bool
+	out     func(broker int) bool // is the first node out for a broker
+	tries   int                   // probes and parts that met it while it was out, from `from` on
+	from    float64
+	parts   int
+	taken   int
+	answers int
+}
+
+type modelled struct {
+	m     *model
+	at    int
+	b     *balance.Broker
+	book  *trials.Book
+	asked bool // the module waits for what is found of the first node
+	wake  float64
+	knows float64 // when it was first told that the node is back
+	quits map[*balance.Search]map[int]int
+}
+
+const (
+	newsTake = 0.004 // seconds by way of the council's leader
+	nodesAll = 40
+)
+
+func (m *model) after(d float64, do func()) {
+	m.seq++
+	heap.Push(&m.q, event{m.now + d, m.seq, do})
+}
+
+func newModel(brokers int, shared bool, seed uint64) *model {
+	m := &model{shared: shared, from: 20, out: func(int) bool { return false }}
+	m.rnd.Seed(seed)
+	for i := range brokers {
+		p := &modelled{m: m, at: i, quits: map[*balance.Search]map[int]int{}}
+		rnd := &chance.Source{}
+		rnd.Seed(seed + uint64(1000*i))
+		p.book = trials.New(fmt.Sprint("b", i), rnd)
+		p.book.Lead(i == 0)
+		t := balance.Terms{Seed: seed + uint64(i), Brokers: brokers, Tick: 0.005, Cells: 10, Reach: 1, Shards: 20, PerCall: 1, Tries: 3, MayCancel: true,
+			MayProbe: true, Cold: 10, ColdFrom: 0.2, Fall: 1, FallMultiple: 3,
+			Types: []balance.QueryType{{Target: 1, Timeout: 4, Value: 1, Need: 1, Least: 1, Window: 1}}}
+		b, err := balance.New(p, t)
+		if err != nil {
+			panic(err)
+		}
+		p.b = b
+		var list []balance.Listed
+		for n := range nodesAll {
+			list = append(list, balance.Listed{Node: n, Cell: n % 10})
+		}
+		p.turn(func() { b.List(true, list) })
+		m.all = append(m.all, p)
+		m.after(m.rnd.Next(), p.search)
+	}
+	return m
+}
+
+func (p *modelled) turn(f func()) {
+	p.b.Begin(p.m.now)
+	f()
+	p.b.Close()
+}
+
+// search takes one, and the next some time later.
+func (p *modelled) search() {
+	p.m.taken++
+	p.turn(func() {
+		q := p.b.Take(0, -1, 4)
+		from := int(p.m.rnd.Next() * 20)
+		for k := range 4 {
+			q.Part((from+k)%20, 0.25)
+		}
+	})
+	p.m.after(0.04+0.12*p.m.rnd.Next(), p.search)
+}
+
+func (p *modelled) Send(q *balance.Search, part, node int, _ float64) {
+	took, how := 0.01+0.04*p.m.rnd.Next(), balance.OK
+	if node == 0 && p.m.out(p.at) {
+		took, how = 0.001, balance.Unreached
+		if p.m.now >= p.m.from {
+			p.m.parts++
+		}
+	}
+	if p.quits[q] == nil {
+		p.quits[q] = map[int]int{}
+	}
+	p.quits[q][part]++
+	n := p.quits[q][part]
+	p.m.after(took, func() { p.land(q, part, n, how, took) })
+}
+
+func (p *modelled) land(q *balance.Search, part, n int, how balance.Outcome, took float64) {
+	if p.quits[q][part] != n {
+		return // it was called off before
+	}
+	p.quits[q][part]++
+	p.turn(func() { q.Reply(part, how, took) })
+}
+
+func (p *modelled) Cancel(q *balance.Search, part, _ int) {
+	n := p.quits[q][part]
+	p.m.after(0, func() { p.land(q, part, n, balance.Cancelled, 0.001) })
+}
+
+func (p *modelled) Answer(*balance.Search, bool)  { p.m.answers++ }
+func (p *modelled) Shed(*balance.Search, float64) {}
+func (p *modelled) Error(*balance.Search)         {}
+func (p *modelled) Renew(int, float64)            {}
+func (p *modelled) Watch()                        {}
+
+func (p *modelled) Wake(at float64) {
+	p.wake = at
+	p.m.after(max(at-p.m.now, 0), func() {
+		if p.wake == at {
+			p.turn(func() {})
+		}
+	})
+}
+
+func (p *modelled) Probe(node int) {
+	if node != 0 {
+		p.m.after(0.002, func() { p.turn(func() { p.b.Probed(node, true) }) })
+		return
+	}
+	if !p.m.shared {
+		p.probe(p.told)
+		return
+	}
+	p.asked = true
+	p.m.after(0, func() { p.met(p.book.Ask(p.m.now, "n0")) })
+}
+
+// probe tries the first node.
+func (p *modelled) probe(told func(ok bool)) {
+	ok := !p.m.out(p.at)
+	if !ok && p.m.now >= p.m.from {
+		p.m.tries++
+	}
+	p.m.after(0.002, func() { told(ok) })
+}
+
+func (p *modelled) told(ok bool) {
+	if ok && p.knows == 0 {
+		p.knows = p.m.now
+	}
+	p.turn(func() { p.b.Probed(0, ok) })
+}
+
+func (p *modelled) found(ok bool) {
+	if p.asked {
+		p.asked = false
+		p.told(ok)
+	}
+}
+
+func (p *modelled) met(v trials.Verdict) {
+	switch v {
+	case trials.Own:
+		p.probe(func(ok bool) {
+			p.book.Found(p.m.now, "n0", ok)
+			p.found(ok)
+			p.pass()
+		})
+	case trials.Back, trials.Out:
+		p.found(v == trials.Back)
+	}
+	p.pass()
+}
+
+// pass hands on what the book says, and looks again when it is due.
+func (p *modelled) pass() {
+	for _, f := range slices.Clone(p.book.Say()) {
+		for _, o := range p.m.all {
+			if o != p && (f.Kind != trials.Wanted || o.at == 0) {
+				p.m.after(newsTake, func() { o.met(o.book.Hear(o.m.now, f)) })
+			}
+		}
+	}
+	if _, ok, again := p.book.Due(p.m.now); ok {
+		p.met(trials.Own)
+	} else if again < 1e9 {
+		p.m.after(again-p.m.now+1e-6, func() {
+			if _, ok, _ := p.book.Due(p.m.now); ok {
+				p.met(trials.Own)
+			}
+		})
+	}
+}
+
+// run plays the first node out from 10 s to 60 s; back is when it is back for whom.
+func (m *model) run(back func(broker int) float64) (tries float64, knows []float64, share float64) {
+	m.out = func(broker int) bool { return m.now >= 10 && m.now < back(broker) }
+	first := back(len(m.all) - 1)
+	const end = 110.0
+	for m.now < end && len(m.q) > 0 {
+		e := heap.Pop(&m.q).(event)
+		m.now = e.at
+		e.do()
+		if m.now < first {
+			for _, p := range m.all {
+				p.knows = 0
+			}
+		}
+	}
+	for _, p := range m.all {
+		if back(p.at) < end && p.knows > 0 {
+			knows = append(knows, p.knows-back(p.at))
+		} else if back(p.at) < end {
+			knows = append(knows, end)
+		}
+	}
+	slices.Sort(knows)
+	return float64(m.tries) / (first - m.from), knows, float64(m.answers) / float64(m.taken)
+}
+
+// sharing measures trials of one node that is out, by fleets of some sizes, with and without one broker trying for all.
+func sharing(seed uint64, must func(bool, string, string, string)) {
+	for _, n := range []int{3, 20, 100} {
+		var rate, last [2]float64
+		for k, shared := range []bool{false, true} {
+			tries, knows, share := newModel(n, shared, seed).run(func(int) float64 { return 60 })
+			rate[k], last[k] = tries, knows[len(knows)-1]
+			fmt.Printf("%-58s %-34s\n", fmt.Sprintf("a node out for 50 s, %d brokers, shared %v (virtual time)", n, shared),
+				fmt.Sprintf("%.2f tries a second; all know in %.2f s; %.4f answered", tries, last[k], share))
+		}
+		if n >= 20 {
+			must(rate[1] < rate[0]/2 && last[1] <= 6, fmt.Sprintf("%d brokers: tries shared, beside each for itself", n), fmt.Sprintf("%.2f for %.2f a second", rate[1], rate[0]), "under half; all know in 6 s")
+		}
+	}
+	m := newModel(20, true, seed) // back for all but the one who tries for all
+	tries, knows, _ := m.run(func(b int) float64 {
+		if b == 0 {
+			return 1000
+		}
+		return 60
+	})
+	must(knows[len(knows)-1] <= 30, "bad for the one who tries for all only, 20 brokers", fmt.Sprintf("%.2f tries a second; all others know in %.2f s", tries, knows[len(knows)-1]),
+		"all others know in 30 s")
+}
