--- a/internal/fleet/roll.go
+++ b/internal/fleet/roll.go
@@ -217,15 +217,16 @@
 }
 
 // note is what this seat knows of a lease's note, without asking the others.
-func (s *seat) note(ctx context.Context, name string) (n lease.Note, ok bool) {
+func (s *seat) note(ctx context.Context, name string) (lease.Note, bool) {
 	got := make(chan lease.Note, 1)
 	if !s.do(ctx, func() {
+		var n lease.Note
 		if st := s.member.State(); st != nil {
 			n = st.Note(name)
 		}
 		got <- n
 	}) {
-		return n, false
+		return lease.Note{}, false
 	}
 	select {
 	case n := <-got:
--- a/internal/fleetrig/rolls.go
+++ b/internal/fleetrig/rolls.go
@@ -96,7 +96,7 @@
 			if p.Stage == roll.Stopped {
 				s.Desk().Say(ctx, roll.Word{Do: roll.On})
 			}
-			return p.Stage == roll.Done
+			return p.Stage == roll.Done || len(s.Broken()) > 0
 		})
 		if !over {
 			res.Bad = append(res.Bad, fmt.Sprintf("the roll does not end: %+v", p))
@@ -113,7 +113,7 @@
 	r.judge(s.Events(), res)
 	res.Bad = append(res.Bad, s.Broken()...)
 	if len(res.Bad) > 0 {
-		res.Logs = s.Logs(40)
+		res.Logs = s.Logs(120)
 	}
 	return res, errors.Join(ctx.Err())
 }
--- a/internal/fleetrig/site.go
+++ b/internal/fleetrig/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -227,8 +228,8 @@
 	for _, p := range s.All {
 		var mine []string
 		for _, e := range all {
-			if e.Who == p.Name {
-				mine = append(mine, e.Line+" "+e.What)
+			if e.Who == p.Name && e.What != "connection ended" {
+				mine = append(mine, cmp.Or(e.Line, e.At.Format("05.000 ")+e.What))
 			}
 		}
 		fmt.Fprintf(&b, "== %s\n%s\n", p.Name, strings.Join(mine[max(0, len(mine)-most):], "\n"))
