--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -521,3 +521,10 @@
 		}
 	})
 }
+
+// RenewalBytes are what one renewal without anything else takes on the connection, there and back: its frames whole.
+func RenewalBytes() (there, back int) {
+	c := lease.Call{Session: lease.ID{1}, Number: 1 << 20, Seen: 1 << 41, Attempt: 1 << 20}
+	a := lease.Answer{Session: c.Session, Number: c.Number, Attempt: c.Attempt, Status: lease.Done, Token: 1 << 41, Now: 1e6 + 0.1}
+	return wire.Overhead + len(wire.Pack(question{Handle: c.Attempt, Call: &c})), wire.Overhead + len(wire.Pack(answered{Handle: c.Attempt, Answer: &a}))
+}
--- a/internal/fleet/council/worlds_test.go
+++ b/internal/fleet/council/worlds_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"container/heap"
+	"encoding/binary"
 	"errors"
 	"flag"
 	"fmt"
@@ -137,6 +138,11 @@
 	ids     uint64
 	names   []string
 	places  []int
+	where   map[uint64]int // the process of each disk there ever was
+	spare   int            // a broker that gets another's seat, -1 for none
+	lost    int            // disks that were lost
+	given   int            // seats that went to another disk
+	notes   map[int]reading
 	told    map[string]uint64 // token by which the last act was accepted
 	grants  int
 	steps   int
@@ -164,7 +170,7 @@
 )
 
 func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{t: t, seed: seed, cut: map[[2]int]bool{}, handles: map[uint64]func(Reply){}, tokens: map[string]map[uint64]int{}, told: map[string]uint64{}}
+	w := &world{t: t, seed: seed, cut: map[[2]int]bool{}, handles: map[uint64]func(Reply){}, tokens: map[string]map[uint64]int{}, told: map[string]uint64{}, where: map[uint64]int{}, notes: map[int]reading{}, spare: -1}
 	w.rnd.Seed(seed)
 	w.terms = lease.Usual()
 	w.terms.TTL, w.terms.Drift = 1, []float64{0.01, 0.05, 0.1}[int(w.rnd.Next()*3)]
@@ -178,6 +184,10 @@
 		drift = min(0.5, drift*6+0.2)
 	}
 	var seats []Seat
+	if w.chance(0.3) {
+		w.spare = n
+		n++
+	}
 	for i := range n + k {
 		b := &body{rate: 1 + drift*(2*w.rnd.Next()-1), zero: 1000 * w.rnd.Next()}
 		if w.chance(0.5) { // at the bound
@@ -187,7 +197,7 @@
 			}
 		}
 		w.bodies = append(w.bodies, b)
-		if i < n {
+		if i < n && i != w.spare {
 			seats = append(seats, Seat{Disk: uint64(100 + i), Broker: fmt.Sprint("b", i), Addr: "-"})
 		}
 	}
@@ -198,9 +208,9 @@
 	w.members, w.disks = make([]*Member, n), make([]*platter, n)
 	w.wake = make([]int, n+k)
 	for i := range n {
-		w.disks[i] = &platter{kept: disk{Kept: Kept{Disk: seats[i].Disk}}, crash: func() (bool, bool) { return false, false }}
+		w.blank(i, uint64(100+i))
 		s, err := Open(w.disks[i])
-		if err == nil {
+		if err == nil && i != w.spare {
 			err = s.Found(Founding(seats, w.terms, 1))
 		}
 		if err != nil {
@@ -223,9 +233,86 @@
 	for range 3 + int(w.rnd.Next()*12) {
 		w.trouble()
 	}
+	if w.chance(0.4) { // of the council's disks one goes wrong: a majority has to have kept its word
+		i := int(w.rnd.Next() * float64(len(seats)))
+		w.in(w.rnd.Next()*(w.faults-2), func() { w.lose(i) })
+	}
+	if w.spare >= 0 {
+		i := int(w.rnd.Next() * float64(len(seats)))
+		w.in(w.rnd.Next()*(w.faults-2), func() { w.replace(i) })
+	}
 	return w
 }
 
+// blank gives a process a new disk.
+func (w *world) blank(i int, number uint64) {
+	w.where[number] = i
+	w.disks[i] = &platter{kept: disk{Kept: Kept{Disk: number}}, crash: func() (bool, bool) { return false, false }}
+}
+
+// in has something happen at a moment, whatever stands still.
+func (w *world) in(at float64, do func()) {
+	w.seq++
+	heap.Push(&w.q, event{at, w.seq, -1, 0, do})
+}
+
+// lose ends a member; it comes back with a blank disk.
+func (w *world) lose(i int) {
+	if w.bodies[i].down {
+		w.in(w.now+0.5, func() { w.lose(i) })
+		return
+	}
+	w.lost++
+	crash := w.disks[i].crash
+	w.stop(i, 0.1+w.rnd.Next())
+	w.blank(i, uint64(1000+100*w.lost+i))
+	w.disks[i].crash = crash
+}
+
+// replace is an operator's command, said again until the spare broker has the seat.
+func (w *world) replace(i int) {
+	for _, m := range w.members {
+		for _, o := range m.Seats() {
+			if o.Broker == fmt.Sprint("b", w.spare) {
+				return
+			}
+		}
+	}
+	for _, m := range w.members {
+		if _, leading := m.Lead(); leading && !w.bodies[w.spare].down {
+			for _, o := range m.Seats() {
+				if o.Broker == fmt.Sprint("b", i) && !o.Learner && o.Disk != m.ID() {
+					m.Admit(Seat{Disk: w.disks[w.spare].kept.Disk, Broker: fmt.Sprint("b", w.spare), Addr: "-"}, o.Disk)
+				}
+			}
+		}
+	}
+	if w.now < w.faults+1 {
+		w.in(w.now+0.3, func() { w.replace(i) })
+	}
+}
+
+// steer is what a leader does about disks that are new, as the seat's goroutine does.
+func (w *world) steer(m *Member) {
+	if _, leading := m.Lead(); !leading {
+		return
+	}
+	for _, o := range m.Seats() {
+		if o.Learner && m.Promote(o.Disk, o.Instead) == nil {
+			w.given++
+			return
+		}
+	}
+	for _, o := range m.Seats() {
+		i := w.where[o.Disk]
+		if now := w.disks[i].kept.Disk; now != o.Disk && !o.Learner && !w.bodies[i].down &&
+			!slices.ContainsFunc(m.Seats(), func(o Seat) bool { return o.Disk == now }) {
+			m.Admit(Seat{Disk: now, Broker: o.Broker, Addr: "-"}, o.Disk)
+			return
+		}
+	}
+}
+
 func (w *world) draw() lease.ID {
 	w.ids++
 	var id lease.ID
@@ -241,10 +328,7 @@
 	if w.chance(0.5) {
 		a, b = a%n, b%n
 	}
-	in := func(d float64, do func()) {
-		w.seq++
-		heap.Push(&w.q, event{d, w.seq, -1, 0, do})
-	}
+	in := w.in
 	switch {
 	case kind < 0.25: // stands still
 		in(at, func() { w.bodies[a].still = ends })
@@ -299,8 +383,12 @@
 	w.members[i].compactAfter, w.members[i].keepBehind = w.level, w.level/4
 	w.bodies[i].down = false
 	var beat func()
+	beats := 0
 	beat = func() {
 		w.members[i].Tick()
+		if beats++; beats%ElectionTicks == 0 {
+			w.steer(w.members[i])
+		}
 		w.turn(i)
 		w.after(tick/w.bodies[i].rate, i, beat)
 	}
@@ -335,7 +423,7 @@
 			msgs = msgs[:k]
 			return
 		}
-		raw, to := marshal(msg), int(msg.GetTo())-100
+		raw, to := marshal(msg), w.where[msg.GetTo()]
 		w.send(i, to, func() {
 			in := &pb.Message{}
 			proto.Unmarshal(raw, in)
@@ -391,7 +479,11 @@
 	k := int(w.rnd.Next() * float64(len(w.names)))
 	s.Acquire(w.names[k], w.places[k], 3*w.rnd.Next())
 	for _, name := range w.names {
-		if _, _, ok := s.Holds(w.clock(n+i), name); ok && w.chance(0.6) || w.chance(0.05) {
+		token, _, ok := s.Holds(w.clock(n+i), name)
+		if ok && w.chance(0.3) {
+			s.Write(name, binary.BigEndian.AppendUint64(nil, token))
+		}
+		if ok && w.chance(0.6) || w.chance(0.05) {
 			s.Release(name)
 		}
 	}
@@ -414,8 +506,8 @@
 			w.handles[h] = func(r Reply) {
 				w.send(to, n+i, func() {
 					if r.Err != nil {
-						if lead, _ := w.members[to].Lead(); lead >= 100 && int(lead)-100 != to {
-							w.toward[i] = int(lead) - 100
+						if lead, _ := w.members[to].Lead(); lead != 0 && w.where[lead] != to {
+							w.toward[i] = w.where[lead]
 							w.client(i, true) // a redirection is followed at once
 						}
 						return
@@ -441,6 +533,7 @@
 		}
 	}
 	w.judge(i)
+	w.read(w.toward[i])
 	d := s.Due() - now
 	if d < 0 {
 		d = 0
@@ -484,6 +577,36 @@
 	}
 }
 
+// read looks at the notes that a member knows of: each was written under the token that it has, and that never falls there
+// in one life of the member.
+func (w *world) read(i int) {
+	st := w.members[i].State()
+	if st == nil || w.bodies[i].down {
+		return
+	}
+	for k, name := range w.names {
+		n := st.Note(name)
+		if len(n.Text) == 0 || w.places[k] > 1 {
+			continue
+		}
+		was := w.notes[i]
+		if was.run != w.bodies[i].run || was.under == nil {
+			was = reading{w.bodies[i].run, map[string]uint64{}}
+			w.notes[i] = was
+		}
+		if binary.BigEndian.Uint64(n.Text) != n.Token || n.Token < was.under[name] {
+			w.bad = fmt.Sprintf("%s: a note under token %d says %x, after one under %d", name, n.Token, n.Text, was.under[name])
+		}
+		was.under[name] = n.Token
+	}
+}
+
+// reading is the tokens of the notes that were read at a member in one of its lives.
+type reading struct {
+	run   int
+	under map[string]uint64
+}
+
 // play runs the world, its faults and a quiet end in which service has to be back.
 func (w *world) play() {
 	quiet, asked, granted := w.faults+lives, false, false
@@ -520,6 +643,9 @@
 	if w.bad == "" { // members that have carried out the same have the same bytes
 		byIndex := map[uint64][]byte{}
 		for _, m := range w.members {
+			if m.State() == nil { // a spare that has no seat
+				continue
+			}
 			_, _, applied := m.Progress()
 			image := m.State().Image()
 			if o, ok := byIndex[applied]; ok && !bytes.Equal(o, image) {
@@ -533,13 +659,14 @@
 // TestWorlds plays random worlds: no two sessions may act at once under one place, whatever happens; and once faults
 // end, leases move again. One that fails is played again by its seed: -seed N -worlds 1.
 func TestWorlds(t *testing.T) {
-	found, steps, grants, crashes := 0, 0, 0, 0
+	found, steps, grants, crashes, lost, given := 0, 0, 0, 0, 0, 0
 	for seed := *firstSeed; seed < *firstSeed+uint64(*worlds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			cryptotest.SetGlobalRandom(t, seed) // Raft draws its election times there
 			w := newWorld(t, seed)
 			w.play()
 			steps, grants, crashes = steps+w.steps, grants+w.grants, crashes+w.crashes
+			lost, given = lost+w.lost, given+w.given
 			if w.bad != "" {
 				found++
 				if *spoilt == "" {
@@ -548,7 +675,7 @@
 			}
 		})
 	}
-	t.Logf("%d worlds, %d steps, %d grants, %d crashes, %d found bad", *worlds, steps, grants, crashes, found)
+	t.Logf("%d worlds, %d steps, %d grants, %d crashes, %d disks lost, %d seats given to another disk, %d found bad", *worlds, steps, grants, crashes, lost, given, found)
 	if *spoilt != "" && found == 0 {
 		t.Errorf("spoilt by %s, and the judge found nothing in %d worlds", *spoilt, *worlds)
 	}
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -254,6 +254,9 @@
 // frame's head: length of the payload, and its kind.
 const head = 5
 
+// Overhead is what a frame takes beside its payload.
+const Overhead = head + macBytes
+
 func seal(key []byte, place uint64, head, payload []byte) []byte {
 	var n [8]byte
 	binary.BigEndian.PutUint64(n[:], place)
--- a/internal/fleetrig/load.go
+++ b/internal/fleetrig/load.go
@@ -94,6 +94,22 @@
 	}
 }
 
+// Kill ends all of the council at once; Again starts it anew with its disks.
+func (c *Council) Kill() {
+	for _, o := range c.f.all {
+		o.kill()
+	}
+}
+
+func (c *Council) Again() error {
+	for _, o := range c.f.all {
+		if err := o.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Close ends it.
 func (c *Council) Close() {
 	c.f.close()
--- a/internal/fleetrig/rolls.go
+++ b/internal/fleetrig/rolls.go
@@ -21,7 +21,8 @@
 	AtOnce  int
 	Act     roll.Act
 	Faults  int
-	ByHand  bool // baseline: a loop that signals one broker after the other and waits a fixed time between
+	ByHand  bool          // baseline: a loop that signals one broker after the other and waits
+	Pause   time.Duration // so long between
 	Dir     string
 }
 
@@ -70,7 +71,7 @@
 		close(faults)
 		for _, p := range s.All {
 			p.Signal(syscall.SIGTERM)
-			sleep(ctx, 600*time.Millisecond)
+			sleep(ctx, r.Pause)
 		}
 		s.Whole(ctx)
 	} else {
--- a/internal/fleetrig/rolls_test.go
+++ b/internal/fleetrig/rolls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"brackenfront/roll"
 )
@@ -35,7 +36,7 @@
 // TestRollByHand: a loop that waits a fixed time between brokers takes more out at a time than it means to: the judge has
 // to find that.
 func TestRollByHand(t *testing.T) {
-	res, err := Rolling{Seed: 1, Brokers: 5, Seats: 3, AtOnce: 1, ByHand: true, Dir: t.TempDir()}.Run(context.Background())
+	res, err := Rolling{Seed: 1, Brokers: 5, Seats: 3, AtOnce: 1, ByHand: true, Pause: 600 * time.Millisecond, Dir: t.TempDir()}.Run(context.Background())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/measure/leases/main.go
+++ b/measure/leases/main.go
@@ -12,7 +12,9 @@
 	"sync"
 	"time"
 
+	"brackenfront/internal/fleet"
 	"brackenfront/internal/fleetrig"
+	"brackenfront/roll"
 )
 
 func main() {
@@ -24,6 +26,8 @@
 	kept := flag.String("kept", "", "folder for the logs of runs that fail")
 	asks := flag.Int("searches", 0, "measure so many searches beside the fleet, in each of its states, alone")
 	shared := flag.Bool("trials", false, "measure trials of nodes that are out, alone")
+	rolls := flag.Int("rolls", 0, "play so many rolls of the program's own processes, alone")
+	away := flag.Duration("down", 0, "measure searches while the council is down for so long, alone")
 	load := flag.Bool("load", false, "measure the load on one council alone")
 	sessions := flag.Int("sessions", 300, "on one council")
 	changes := flag.Int("changes", 1_000_000, "of leases")
@@ -38,6 +42,20 @@
 	}
 	fmt.Printf("%-58s %-34s %-30s\n", "figure", "measured", "must")
 
+	if *rolls > 0 {
+		rolling(*seed, *rolls, must)
+		if !ok {
+			os.Exit(1)
+		}
+		return
+	}
+	if *away > 0 {
+		down(*away, must)
+		if !ok {
+			os.Exit(1)
+		}
+		return
+	}
 	if *shared {
 		sharing(*seed, must)
 		if !ok {
@@ -140,9 +158,60 @@
 		}
 		row(fmt.Sprintf("%d sessions, each a lease (ttl 6 s)", l.Sessions), "%.2f s until all hold", l.Held.Seconds())
 		row("their renewals", "%.0f a second; %.3f ms CPU, %.2f syncs each", l.Renewals, l.CPU, l.Syncs)
+		call, answer := fleet.RenewalBytes()
+		row("bytes of one renewal", "%d there, %d back", call, answer)
 		row("the whole council starts anew under them", "%.2f s until all are served", l.Back.Seconds())
 		row(fmt.Sprintf("%d changes of leases", l.Changes), "%.0f a second", l.Rate)
 		row("after them, the leader", "%.1f MB of disk, %.1f MB resident", float64(l.Disk)/(1<<20), float64(l.Memory)/(1<<20))
 		row("its new start", "%.2f s until it follows again", l.Restart.Seconds())
 	}
 }
+
+// rolling restarts whole fleets of the program's own processes in turns, with faults beside; and, without faults, in turns,
+// by a loop of fixed pauses, and all at once.
+func rolling(seed uint64, n int, must func(bool, string, string, string)) {
+	bad, most, asked := 0, 0, 0
+	var took []float64
+	worst := 1.0
+	for i := range uint64(n) {
+		r := fleetrig.Rolling{Seed: seed + i, Brokers: 7, Seats: 3, AtOnce: 2, Act: roll.Restart, Faults: 4}
+		res, err := r.Run(context.Background())
+		if err != nil {
+			fmt.Println(err)
+			bad++
+			continue
+		}
+		if len(res.Bad) > 0 {
+			bad++
+			fmt.Printf("seed %d: %s\n  %s\n", r.Seed, strings.Join(res.Bad, "\n"), strings.Join(res.Faults, "\n  "))
+		}
+		most, asked, worst = max(most, res.Most), asked+res.Asked, min(worst, res.Worst)
+		took = append(took, res.Took.Seconds())
+	}
+	slices.Sort(took)
+	if len(took) > 0 {
+		must(bad == 0, fmt.Sprintf("%d rolls of 7 brokers, 2 at once, 4 faults each, from seed %d on", n, seed),
+			fmt.Sprintf("%d bad; %d out at most; p50 %.1f s", bad, most, took[len(took)/2]), "0 bad; 2 out, of the council 1")
+	}
+	for _, c := range []struct {
+		what string
+		r    fleetrig.Rolling
+	}{
+		{"a roll, one at a time, no faults", fleetrig.Rolling{AtOnce: 1, Act: roll.Restart}},
+		{"a loop by hand, 0.6 s between", fleetrig.Rolling{AtOnce: 1, ByHand: true, Pause: 600 * time.Millisecond}},
+		{"all at once", fleetrig.Rolling{AtOnce: 7, ByHand: true}},
+	} {
+		c.r.Seed, c.r.Brokers, c.r.Seats = seed, 7, 3
+		res, err := c.r.Run(context.Background())
+		if err != nil {
+			must(false, c.what, err.Error(), "")
+			continue
+		}
+		figure := fmt.Sprintf("%d out at most; %.3f answered, %.3f in the worst second; %.1f s", res.Most, res.Share, res.Worst, res.Took.Seconds())
+		if c.r.ByHand {
+			fmt.Printf("%-58s %-34s\n", c.what, figure)
+		} else {
+			must(len(res.Bad) == 0 && res.Most == 1, c.what, figure, "1 out")
+		}
+	}
+}
