--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -166,8 +166,10 @@
 func (t *trialist) met(addr string, v trials.Verdict) {
 	switch v {
 	case trials.Back, trials.Out:
+		t.n.count("trial by news")
 		t.found(addr, v == trials.Back)
 	case trials.Own:
+		t.n.count("trial own")
 		if t.probe == nil {
 			t.book.Untried(t.n.world.Now(), addr)
 			t.found(addr, false)
--- a/internal/fleetrig/link.go
+++ b/internal/fleetrig/link.go
@@ -18,6 +18,8 @@
 	slow atomic.Int64    // nanoseconds that each piece takes
 	foul [2]atomic.Int64 // of so many thousand pieces, one is spoilt: a bit, left out, doubled
 	n    atomic.Int64
+	away atomic.Bool  // who comes is turned away
+	came atomic.Int64 // how many were
 	mu   sync.Mutex
 	open map[net.Conn]bool
 	shut bool
@@ -47,6 +49,23 @@
 // Foul spoils one piece in so many, there and back; 0 for none.
 func (l *Link) Foul(one int) { l.foul[0].Store(int64(one)); l.foul[1].Store(int64(one)) }
 
+// Turn has all who come turned away at once, as a process that is gone does, and ends the connections that stand; Turned
+// counts them.
+func (l *Link) Turn(away bool) {
+	if l.away.Store(away); away {
+		l.Reset()
+	}
+}
+
+func (l *Link) Turned() int64 { return l.came.Load() }
+
+// Standing are the connections that stand.
+func (l *Link) Standing() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open) / 2
+}
+
 // Reset ends all connections that stand.
 func (l *Link) Reset() {
 	l.mu.Lock()
@@ -90,6 +109,11 @@
 		if err != nil {
 			return
 		}
+		if l.away.Load() {
+			l.came.Add(1)
+			a.Close()
+			continue
+		}
 		if !l.keep(a) {
 			return
 		}
--- a/internal/fleetrig/rolls_test.go
+++ b/internal/fleetrig/rolls_test.go
@@ -45,3 +45,15 @@
 	}
 	t.Logf("%d out at most, %.3f answered, %.3f in the worst second", res.Most, res.Share, res.Worst)
 }
+
+// TestTrying: in the program itself a leaf that is away is tried by one broker for all, and all find it again.
+func TestTrying(t *testing.T) {
+	res, err := Trying{Brokers: 5, Shared: true, Away: 6 * time.Second, Dir: t.TempDir()}.Run(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(res.Broken) > 0 || res.ByNews == 0 || res.Share < 0.95 {
+		t.Errorf("%+v", res)
+	}
+	t.Logf("%+v", res)
+}
--- a/internal/fleetrig/site.go
+++ b/internal/fleetrig/site.go
@@ -33,6 +33,8 @@
 	Troupe *standin.Troupe
 	All    []*Program
 
+	Front *Link // before the first leaf
+
 	dir    string
 	keys   string
 	seats  int
@@ -109,7 +111,14 @@
 			return nil, err
 		}
 		s.leaves = append(s.leaves, l)
-		hosts = append(hosts, l.Entry())
+		entry := l.Entry()
+		if i == 0 {
+			if s.Front, err = NewLink(l.Addr()); err != nil {
+				return nil, err
+			}
+			entry = strings.Replace(entry, l.Addr(), s.Front.Addr(), 1)
+		}
+		hosts = append(hosts, entry)
 	}
 	group := int(host.Add(1))
 	for i := range b.Brokers {
@@ -261,6 +270,9 @@
 	for _, l := range s.links {
 		l.Close()
 	}
+	if s.Front != nil {
+		s.Front.Close()
+	}
 	for _, l := range s.leaves {
 		l.Close()
 	}
--- a/internal/routing/mute_test.go
+++ b/internal/routing/mute_test.go
@@ -30,3 +30,41 @@
 		t.Fatalf("%+v", c)
 	}
 }
+
+// consulted takes wishes to try nodes as long as it is told to.
+type consulted struct{ takes chan func(ok bool) }
+
+func (c *consulted) Try(addr string, told func(ok bool)) bool {
+	if addr != "n0" {
+		return false
+	}
+	c.takes <- told
+	return true
+}
+
+// TestTryForOthers: a node is tried for others by its address only while the list names it as running.
+func TestTryForOthers(t *testing.T) {
+	g := newRig(t)
+	try := func(addr string) (ok, tried bool) {
+		got := make(chan [2]bool, 1)
+		g.r.Try(addr, func(ok, tried bool) { got <- [2]bool{ok, tried} })
+		s := wait(g, "what came of it", got)
+		return s[0], s[1]
+	}
+	if _, tried := try("n0"); !tried {
+		t.Error("a node of the list is not tried")
+	}
+	if _, tried := try("n9"); tried {
+		t.Error("a node that no list names is tried")
+	}
+	g.r.Listed(g.list(balance.Draining, balance.Active))
+	if _, tried := try("n0"); tried {
+		t.Error("a draining node is tried")
+	}
+	// And the router asks whoever it is told to, on its own goroutine.
+	c := &consulted{make(chan func(bool), 1)}
+	done := make(chan struct{})
+	g.r.post(func() { g.r.Consult(c); g.r.Probe(0); close(done) })
+	<-done
+	(<-c.takes)(false)
+}
--- a/measure/leases.sh
+++ b/measure/leases.sh
@@ -5,10 +5,10 @@
 #   measure/leases.sh [--quick] [--seed N] [--runs K]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-seed=1000 runs=200 worlds=10000 changes=1000000 deep=7 council=4 rolls=20 away=60s asks=24000 calls=40
+seed=1000 runs=200 worlds=10000 changes=1000000 deep=7 council=4 rolls=20 away=60s asks=24000 calls=40 gone=40s
 while [ $# -gt 0 ]; do
 	case "$1" in
-	--quick) runs=4 worlds=60 changes=20000 deep=4 council=2 rolls=1 away=3s asks=2400 calls=2 ;;
+	--quick) runs=4 worlds=60 changes=20000 deep=4 council=2 rolls=1 away=3s asks=2400 calls=2 gone=6s ;;
 	--seed) seed=$2; shift ;;
 	--runs) runs=$2; shift ;;
 	*) echo "usage: measure/leases.sh [--quick] [--seed N] [--runs K]" >&2; exit 2 ;;
@@ -56,7 +56,7 @@
 part puts
 part every
 echo "== trials of nodes that are out"
-part "$bin/leases" -trials -seed "$seed"
+part "$bin/leases" -trials "$gone" -seed "$seed"
 echo "== real processes"
 part "$bin/leases" -seed "$seed" -runs "$runs" -changes "$changes" -lanes $(( lanes > 4 ? lanes - 2 : 2 ))
 echo "== rolls of the program's own processes"
--- a/measure/leases/main.go
+++ b/measure/leases/main.go
@@ -25,7 +25,7 @@
 	faults := flag.Int("faults", 10, "in each")
 	kept := flag.String("kept", "", "folder for the logs of runs that fail")
 	asks := flag.Int("searches", 0, "measure so many searches beside the fleet, in each of its states, alone")
-	shared := flag.Bool("trials", false, "measure trials of nodes that are out, alone")
+	shared := flag.Duration("trials", 0, "measure trials of nodes that are out for so long, alone")
 	rolls := flag.Int("rolls", 0, "play so many rolls of the program's own processes, alone")
 	away := flag.Duration("down", 0, "measure searches while the council is down for so long, alone")
 	load := flag.Bool("load", false, "measure the load on one council alone")
@@ -56,8 +56,8 @@
 		}
 		return
 	}
-	if *shared {
-		sharing(*seed, must)
+	if *shared > 0 {
+		sharing(*seed, *shared, must)
 		if !ok {
 			os.Exit(1)
 		}
--- a/measure/leases/trials.go
+++ b/measure/leases/trials.go
@@ -2,11 +2,14 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"brackenfront/balance"
 	"brackenfront/chance"
+	"brackenfront/internal/fleetrig"
 	"brackenfront/trials"
 )
 
@@ -253,7 +256,7 @@
 }
 
 // sharing measures trials of one node that is out, by fleets of some sizes, with and without one broker trying for all.
-func sharing(seed uint64, must func(bool, string, string, string)) {
+func sharing(seed uint64, away time.Duration, must func(bool, string, string, string)) {
 	for _, n := range []int{3, 20, 100} {
 		var rate, last [2]float64
 		for k, shared := range []bool{false, true} {
@@ -266,6 +269,20 @@
 			must(rate[1] < rate[0]/2 && last[1] <= 6, fmt.Sprintf("%d brokers: tries shared, beside each for itself", n), fmt.Sprintf("%.2f for %.2f a second", rate[1], rate[0]), "under half; all know in 6 s")
 		}
 	}
+	for _, n := range []int{3, 8} {
+		var by [2]*fleetrig.Tried
+		for k, shared := range []bool{false, true} {
+			r, err := fleetrig.Trying{Brokers: n, Shared: shared, Away: away}.Run(context.Background())
+			if err != nil || len(r.Broken) > 0 {
+				must(false, "trials by processes", fmt.Sprint(err, r), "")
+				return
+			}
+			by[k] = r
+			fmt.Printf("%-58s %-34s\n", fmt.Sprintf("a leaf away for %v, %d processes, shared %v", away, n, shared),
+				fmt.Sprintf("%.2f tries a second; all are back in %.2f s; %.4f answered", r.Tries, r.Back, r.Share))
+		}
+		must(by[1].Back <= by[0].Back+6, fmt.Sprintf("%d processes: back no later than without, by more than a rest", n), fmt.Sprintf("%.2f and %.2f s", by[1].Back, by[0].Back), "")
+	}
 	m := newModel(20, true, seed) // back for all but the one who tries for all
 	tries, knows, _ := m.run(func(b int) float64 {
 		if b == 0 {
--- a/roll/roll_test.go
+++ b/roll/roll_test.go
@@ -180,6 +180,20 @@
 		t.Fatalf("%+v", p)
 	}
 
+	y, known = newYard(3, 0) // one is out for reasons of its own
+	l = Lead("", Plan{})
+	y.bodies["b02"].down = 8
+	l.Hear(begin(1, Restart, 1), known)
+	y.write(l)
+	rounds(y, l, 7)
+	if y.bodies["b00"].acts > 0 {
+		t.Error("one went beside another that is out")
+	}
+	rounds(y, l, 20)
+	if l.Plan().Stage != Done {
+		t.Errorf("%+v", l.Plan())
+	}
+
 	y, known = newYard(5, 0)
 	l = Lead("", Plan{})
 	l.Hear(begin(1, Switch, 2), known)
