--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,348 @@
+// Package budget divides what is stated for a whole fleet among its brokers, and says what one broker may use now.
+//
+// What holds, and is judged from outside:
+//
+//  1. Never more than the whole. At every moment the sum over all processes, living, still, cut off or just started, of
+//     what each may use is at most the whole, bursts included: in every window all of them together spend at most rate x
+//     window + burst, and hold at most the stock.
+//  2. Divided anew. While the council is up, what is free goes to those who use it, within a stated time.
+//
+// It rests on the council's agreement and on the bound on clocks' rates, as leases do (package lease): a share is a lease of
+// an amount. It is cut first, acknowledged or lapsed by the council's longer clock, and given after. What was saved up goes
+// with the share that is cut. Each broker's floor is carved out of the whole for good: it needs no council, and a broker
+// that the council does not know has nothing beyond it.
+//
+// Amounts are whole thousandths, so that sums are exact: of units a second (rates), or of units (stocks). Nothing here does
+// I/O, reads a clock or has a goroutine. Times are seconds.
+package budget
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Kind is what a budget is of.
+type Kind uint8
+
+const (
+	Rate  Kind = iota + 1 // units a second, with a burst
+	Stock                 // units at a time
+)
+
+func (k Kind) String() string { return [...]string{"", "rate", "stock"}[k] }
+
+// Amount is thousandths of a unit a second, or of a unit.
+type Amount = int64
+
+// Unit is one of what amounts count.
+const Unit Amount = 1000
+
+// Terms are what is stated of one budget, for the whole fleet.
+type Terms struct {
+	Kind    Kind    `cbor:"1,keyasint" json:"kind"`
+	Whole   Amount  `cbor:"2,keyasint" json:"whole"`
+	Burst   Amount  `cbor:"3,keyasint,omitempty" json:"burst,omitempty"`  // of a rate: units that may be saved up, by all together
+	Floor   Amount  `cbor:"4,keyasint,omitempty" json:"floor,omitempty"`  // each broker's for good
+	Brokers int     `cbor:"5,keyasint" json:"brokers"`                    // there are no more: floors are carved out for so many
+	Linger  float64 `cbor:"6,keyasint,omitempty" json:"linger,omitempty"` // of a stock: seconds that what was held may outlast the right to it
+}
+
+const (
+	mostBrokers = 1 << 16
+	mostAmount  = 1 << 50
+)
+
+// Check says what is wrong with the terms.
+func (t Terms) Check() error {
+	var wrong []error
+	say := func(format string, args ...any) { wrong = append(wrong, fmt.Errorf(format, args...)) }
+	if t.Kind != Rate && t.Kind != Stock {
+		say("kind: got %d, expected a rate or a stock", t.Kind)
+	}
+	if t.Brokers < 1 || t.Brokers > mostBrokers {
+		say("brokers: got %d, expected 1 to %d", t.Brokers, mostBrokers)
+		return errors.Join(wrong...)
+	}
+	if t.Whole < 0 || t.Whole > mostAmount {
+		say("whole: got %d thousandths, expected 0 to %d", t.Whole, int64(mostAmount))
+	}
+	if t.Floor < 0 || t.Floor > t.Whole/int64(t.Brokers) {
+		say("floor: got %d thousandths, expected no more than one in %d brokers of the whole, %d", t.Floor, t.Brokers, t.Whole/int64(t.Brokers))
+	}
+	if t.Kind == Rate && t.Whole > 0 && (t.Burst < int64(t.Brokers)*Unit || t.Burst > mostAmount) {
+		say("burst: got %d thousandths, expected one unit for each of %d brokers at the least: a share of less saves up none to spend", t.Burst, t.Brokers)
+	}
+	if !(t.Linger >= 0 && t.Linger <= 3600) {
+		say("linger: got %v s, expected 0 to 3600", t.Linger)
+	}
+	return errors.Join(wrong...)
+}
+
+// Free is what is divided beyond the floors of so many brokers; never below 0.
+func (t Terms) Free(brokers int) Amount {
+	return max(t.Whole-int64(max(t.Brokers, brokers))*t.Floor, 0)
+}
+
+// depth is what a broker with a share beyond its floor may save up: one unit with the floor, and of the rest as much as its
+// share is of what is divided.
+func (t Terms) depth(share Amount) float64 {
+	if t.Whole == 0 {
+		return 0
+	}
+	free := t.Free(0)
+	if free == 0 {
+		return 1
+	}
+	return 1 + float64(t.Burst-int64(t.Brokers)*Unit)/float64(Unit)*float64(min(share, free))/float64(free)
+}
+
+// Claim is one broker's in a division.
+type Claim struct {
+	Has     Amount // what it was told last, beyond its floor
+	Used    Amount // of all it has, floor and share, in the time since
+	Refused Amount // more that it had use for
+	Weight  int64  // 0 counts as 1
+}
+
+const (
+	grow   = 4  // a share may grow to so many times what is used, in one division
+	full   = 5  // refusals count once more than four in so many parts of what a broker has are used
+	band   = 8  // changes of less than one in so many parts of a share change nothing
+	starts = 16 // of an even part, what one that had nothing may begin with
+)
+
+// want is what a broker's use says that it needs beyond its floor. Refusals count only from one that uses what it has, and
+// never for more than some times that: who asks for more than it uses gains nothing.
+func (t Terms) want(c Claim, free Amount, n int) Amount {
+	used, refused, has := max(c.Used, 0), max(c.Refused, 0), c.Has+t.Floor
+	even := max(free/int64(max(n, 1)), 1)
+	need := used + used/band
+	if used >= has-has/full {
+		need = min(used+refused+refused/band, grow*max(used, even/starts)+even/starts)
+	}
+	return min(max(need-t.Floor, 0), free)
+}
+
+// Divide gives each claim its share of what is free: what it wants where all can have that, with the rest in even parts by
+// weight; else max-min fair by weight. Shares that would change little stay. The sum is never over what is free. Claims are
+// taken in their order, so that the same gives the same everywhere.
+func (t Terms) Divide(free Amount, claims []Claim) []Amount {
+	n := len(claims)
+	shares := make([]Amount, n)
+	if n == 0 || free <= 0 {
+		return shares
+	}
+	wants, weights := make([]Amount, n), make([]int64, n)
+	for i, c := range claims {
+		wants[i], weights[i] = t.want(c, free, n), min(max(c.Weight, 1), mostBrokers)
+	}
+	fill(shares, wants, weights, free)
+	left := free
+	for _, s := range shares {
+		left -= s
+	}
+	if left > 0 { // all have what they want: the rest is room for what comes
+		for i := range wants {
+			wants[i] = free
+		}
+		more := make([]Amount, n)
+		fill(more, wants, weights, left)
+		for i := range shares {
+			shares[i] += more[i]
+		}
+	}
+	// Small changes move nothing. What stays above its new share gives way again where the sum would be over.
+	sum := Amount(0)
+	kept := make([]bool, n)
+	target := slices.Clone(shares)
+	for i, c := range claims {
+		if d := shares[i] - c.Has; c.Has > 0 && max(d, -d) <= c.Has/band {
+			shares[i], kept[i] = c.Has, true
+		}
+		sum += shares[i]
+	}
+	for i := range shares {
+		if sum > free && kept[i] && shares[i] > target[i] {
+			sum -= shares[i] - target[i]
+			shares[i] = target[i]
+		}
+	}
+	return shares
+}
+
+// fill pours an amount into claims: level by weight, none above its want, in whole thousandths, the last ones by order.
+func fill(shares, wants []Amount, weights []int64, free Amount) {
+	open := make([]int, 0, len(wants))
+	for i, w := range wants {
+		if w > 0 {
+			open = append(open, i)
+		}
+	}
+	for free > 0 && len(open) > 0 {
+		sum := int64(0)
+		for _, i := range open {
+			sum += weights[i]
+		}
+		// Those whose want is within their part of what is left get it, and the rest is poured anew.
+		var rest []int
+		given := Amount(0)
+		for _, i := range open {
+			if need := wants[i] - shares[i]; need <= part(free, weights[i], sum) {
+				shares[i] += need
+				given += need
+			} else {
+				rest = append(rest, i)
+			}
+		}
+		if given > 0 || len(rest) < len(open) {
+			free, open = free-given, rest
+			continue
+		}
+		for _, i := range open {
+			p := part(free, weights[i], sum)
+			shares[i] += p
+			given += p
+		}
+		free -= given
+		for _, i := range open { // what whole thousandths left over
+			if free == 0 {
+				break
+			}
+			if shares[i] < wants[i] {
+				shares[i]++
+				free--
+			}
+		}
+		return
+	}
+}
+
+// part is amount x weight / sum, in whole thousandths, without overflow: amounts are under 2^50, weights under 2^17.
+func part(amount Amount, weight, sum int64) Amount {
+	return amount/sum*weight + amount%sum*weight/sum
+}
+
+// Purse is one broker's side of one budget: what it may use now. Times are by its own clock.
+type Purse struct {
+	terms Terms
+	drift float64
+	share Amount  // beyond the floor, as the council said last
+	until float64 // the share's end
+	level float64 // units saved up
+	at    float64 // when that was so
+	held  int64   // units of a stock
+
+	used, refused int64 // since they were last asked for
+	since         float64
+	peak          int64 // of what was held
+}
+
+// NewPurse makes one at a start: nothing is saved up, as it may have been spent before.
+func NewPurse(t Terms, drift, now float64) *Purse {
+	return &Purse{terms: t, drift: drift, at: now, since: now}
+}
+
+// Restate puts other terms in force.
+func (p *Purse) Restate(now float64, t Terms) {
+	p.settle(now)
+	p.terms = t
+	p.level = min(p.level, p.depth())
+}
+
+// Set says what the council has given, and until when unless it is renewed. What is saved up beyond a smaller share goes with
+// it; a larger one begins with what there is.
+func (p *Purse) Set(now float64, share Amount, until float64) {
+	p.settle(now)
+	p.share, p.until = max(share, 0), until
+	p.level = min(p.level, p.depth())
+}
+
+// Renew moves the end of the share on.
+func (p *Purse) Renew(now, until float64) {
+	p.settle(now)
+	if p.share > 0 {
+		p.until = max(p.until, until)
+	}
+}
+
+func (p *Purse) depth() float64 { return p.terms.depth(p.share) }
+
+// settle brings the purse to a moment: a share that has ended is gone, and what it had saved up with it. A clock that runs
+// fast saves up no more than a true one.
+func (p *Purse) settle(now float64) {
+	if p.share > 0 && now >= p.until {
+		p.save(p.until)
+		p.share = 0
+		p.level = min(p.level, p.depth())
+	}
+	p.save(now)
+}
+
+func (p *Purse) save(now float64) {
+	if now <= p.at {
+		return
+	}
+	p.level = min(p.level+float64(p.terms.Floor+p.share)/float64(Unit)*(now-p.at)*(1-p.drift), p.depth())
+	p.at = now
+}
+
+// Spend takes one unit of a rate, if there is one.
+func (p *Purse) Spend(now float64) bool {
+	p.settle(now)
+	if p.level < 1 {
+		p.refused++
+		return false
+	}
+	p.level--
+	p.used++
+	return true
+}
+
+// Share is what the broker may use now: its floor, and what the council has given beyond it.
+func (p *Purse) Share(now float64) (floor, share Amount) {
+	p.settle(now)
+	return p.terms.Floor, p.share
+}
+
+// room is how many units of a stock the broker may hold.
+func (p *Purse) room() int64 { return (p.terms.Floor + p.share) / Unit }
+
+// Hold takes one unit of a stock, if there is one.
+func (p *Purse) Hold(now float64) bool {
+	p.settle(now)
+	if p.held >= p.room() {
+		p.refused++
+		return false
+	}
+	p.held++
+	p.peak = max(p.peak, p.held)
+	return true
+}
+
+// Release gives one back.
+func (p *Purse) Release() { p.held = max(p.held-1, 0) }
+
+// Over is how many units are held beyond what may be: they have to be given back, and a cut counts as carried out only then.
+func (p *Purse) Over(now float64) int64 {
+	p.settle(now)
+	if p.terms.Kind != Stock {
+		return 0
+	}
+	return max(p.held-p.room(), 0)
+}
+
+// Demand is what was used and what was refused since it was last asked, as amounts; for a rate by the second.
+func (p *Purse) Demand(now float64) (used, refused Amount) {
+	d := max(now-p.since, 1e-3)
+	u, r := p.used, p.refused
+	p.used, p.refused, p.since = 0, 0, now
+	if p.terms.Kind == Stock {
+		peak := p.peak
+		p.peak = p.held
+		return peak * Unit, min(r, 1<<20) * Unit
+	}
+	rate := func(n int64) Amount { return Amount(math.Min(float64(n)*float64(Unit)/d, mostAmount)) }
+	return rate(u), rate(r)
+}
--- a/internal/fleet/council/worlds_test.go
+++ b/internal/fleet/council/worlds_test.go
@@ -17,6 +17,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"brackenfront/budget"
 	"brackenfront/chance"
 	"brackenfront/lease"
 )
@@ -116,41 +117,49 @@
 
 // world is members and clients with faults between them, in virtual time.
 type world struct {
-	t       *testing.T
-	seed    uint64
-	rnd     chance.Source
-	now     float64
-	q       queue
-	seq     int
-	terms   lease.Terms
-	bodies  []*body // members first, then clients
-	members []*Member
-	disks   []*platter
-	clients []*lease.Session
-	toward  []int // the member each client asks
-	wake    []int // the timer of each process that counts: a new one replaces it
-	cut     map[[2]int]bool
-	loss    float64
-	level   uint64  // entries between snapshots
-	habit   float64 // seconds between what a client asks
-	faults  float64 // until then
-	drawn   byte
-	ids     uint64
-	names   []string
-	places  []int
-	where   map[uint64]int // the process of each disk there ever was
-	spare   int            // a broker that gets another's seat, -1 for none
-	lost    int            // disks that were lost
-	given   int            // seats that went to another disk
-	notes   map[int]reading
-	told    map[string]uint64 // token by which the last act was accepted
-	grants  int
-	steps   int
-	crashes int
-	handles map[uint64]func(Reply)
-	handle  uint64
-	tokens  map[string]map[uint64]int // who was granted each token
-	bad     string
+	t        *testing.T
+	seed     uint64
+	rnd      chance.Source
+	now      float64
+	q        queue
+	seq      int
+	terms    lease.Terms
+	bodies   []*body // members first, then clients
+	members  []*Member
+	disks    []*platter
+	clients  []*lease.Session
+	toward   []int // the member each client asks
+	wake     []int // the timer of each process that counts: a new one replaces it
+	cut      map[[2]int]bool
+	loss     float64
+	level    uint64  // entries between snapshots
+	habit    float64 // seconds between what a client asks
+	faults   float64 // until then
+	drawn    byte
+	ids      uint64
+	names    []string
+	places   []int
+	where    map[uint64]int // the process of each disk there ever was
+	spare    int            // a broker that gets another's seat, -1 for none
+	lost     int            // disks that were lost
+	given    int            // seats that went to another disk
+	notes    map[int]reading
+	purses   []*lease.Purses
+	pots     map[string]budget.Terms
+	saved    float64 // of the judge's own bucket, by its one clock
+	savedAt  float64
+	spent    int
+	held     int // units of the stock, at the target
+	most     int
+	statedAt float64
+	told     map[string]uint64 // token by which the last act was accepted
+	grants   int
+	steps    int
+	crashes  int
+	handles  map[uint64]func(Reply)
+	handle   uint64
+	tokens   map[string]map[uint64]int // who was granted each token
+	bad      string
 }
 
 func (w *world) chance(p float64) bool { return w.rnd.Next() < p }
@@ -202,6 +211,11 @@
 		}
 	}
 	w.names, w.places = []string{"one", "two", "three", "four", "many"}, []int{1, 1, 1, 1, 2}
+	w.pots = map[string]budget.Terms{ // floors for all there are
+		"rate":  {Kind: budget.Rate, Whole: 60 * budget.Unit, Burst: int64(k)*budget.Unit + 20*budget.Unit, Floor: 60 * budget.Unit / 5 / int64(k), Brokers: k},
+		"stock": {Kind: budget.Stock, Whole: int64(2*k) * budget.Unit, Floor: budget.Unit / 2, Brokers: k, Linger: 0.5},
+	}
+	w.saved = float64(w.pots["rate"].Burst) / float64(budget.Unit)
 	w.loss = 0.05 * w.rnd.Next()
 	w.level = []uint64{8, 64, compactAfter}[int(w.rnd.Next()*3)]
 	w.faults, w.habit = 10, 0.2+w.rnd.Next()
@@ -226,6 +240,13 @@
 	}
 	for i := range k {
 		w.clients = append(w.clients, lease.NewSession(fmt.Sprint("c", i), "", w.draw))
+		w.purses = append(w.purses, lease.NewPurses(w.clients[i], w.terms.Drift))
+		w.after(w.rnd.Next(), n+i, func() {
+			for _, name := range []string{"rate", "stock"} {
+				w.purses[i].Open(w.clock(n+i), name, w.pots[name])
+			}
+			w.spend(i, 1+4*w.rnd.Next()*w.rnd.Next()*w.rnd.Next())
+		})
 		w.toward = append(w.toward, int(w.rnd.Next()*float64(n)))
 		w.after(w.rnd.Next(), n+i, func() { w.want(i) })
 		w.after(w.rnd.Next()*0.1, n+i, func() { w.client(i, false) })
@@ -491,10 +512,57 @@
 	w.client(i, false)
 }
 
+// spend is what a client uses of the budgets: the more eager, the more.
+func (w *world) spend(i int, eager float64) {
+	n := len(w.members)
+	for range int(eager) {
+		if w.purses[i].Spend(w.clock(n+i), "rate") {
+			t := w.pots["rate"]
+			w.saved = min(w.saved+float64(t.Whole)/float64(budget.Unit)*(w.now-w.savedAt), float64(t.Burst)/float64(budget.Unit)) - 1
+			w.savedAt = w.now
+			if w.spent++; w.saved < -1e-6 {
+				w.bad = fmt.Sprintf("%d units spent: %.3f more than rate x window + burst", w.spent, -w.saved)
+			}
+		}
+		if w.purses[i].Hold(w.clock(n+i), "stock") {
+			if w.held++; int64(w.held)*budget.Unit > w.pots["stock"].Whole {
+				w.bad = fmt.Sprintf("%d units of a stock of %d are held", w.held, w.pots["stock"].Whole/budget.Unit)
+			}
+			w.most = max(w.most, w.held)
+			lasts := 0.4 * w.rnd.Next() // at the target it ends by itself, whatever its holder does
+			w.in(w.now+lasts, func() { w.held-- })
+			w.after(lasts, n+i, func() { w.purses[i].Release("stock") })
+		}
+	}
+	if w.chance(0.02) { // traffic moves
+		eager = 1 + 4*w.rnd.Next()*w.rnd.Next()*w.rnd.Next()
+	}
+	w.after(0.05+0.1*w.rnd.Next(), n+i, func() { w.spend(i, eager) })
+}
+
+// sum looks at what all may use at this moment, by their own clocks: exactly no more than what there is beyond the floors.
+func (w *world) sum() {
+	n := len(w.members)
+	for name, t := range w.pots {
+		all := budget.Amount(0)
+		for i, p := range w.purses {
+			_, share := p.Share(w.clock(n+i), name)
+			all += share
+		}
+		if free := t.Free(0); all > free {
+			w.bad = fmt.Sprintf("%s: %d thousandths may be used beyond the floors, %d there are", name, all, free)
+		}
+	}
+}
+
 // client sends what is due, and does under its leases what it may.
 func (w *world) client(i int, fresh bool) {
 	s, n := w.clients[i], len(w.members)
 	now := w.clock(n + i)
+	w.purses[i].Turn(now)
+	if i == 0 {
+		w.state(now)
+	}
 	if c, ok := s.Send(now, fresh); ok {
 		if !fresh && w.chance(0.3) { // no answer: another member
 			w.toward[i] = (w.toward[i] + 1) % n
@@ -533,6 +601,7 @@
 		}
 	}
 	w.judge(i)
+	w.sum()
 	w.read(w.toward[i])
 	d := s.Due() - now
 	if d < 0 {
@@ -554,6 +623,19 @@
 	})
 }
 
+// state is the first client's part: it states the budgets whenever it may.
+func (w *world) state(now float64) {
+	s := w.clients[0]
+	s.Acquire(lease.BudgetsLease, 1, 1000)
+	if _, _, ok := s.Holds(now, lease.BudgetsLease); ok && w.now > w.statedAt+0.5 {
+		w.statedAt = w.now
+		for _, name := range []string{"rate", "stock"} {
+			t := w.pots[name]
+			s.Define(name, &t)
+		}
+	}
+}
+
 // judge looks from outside: whoever may act at this moment, by its own clock, is one of no more than the places, each
 // with a place and a token of its own.
 func (w *world) judge(i int) {
@@ -659,14 +741,14 @@
 // TestWorlds plays random worlds: no two sessions may act at once under one place, whatever happens; and once faults
 // end, leases move again. One that fails is played again by its seed: -seed N -worlds 1.
 func TestWorlds(t *testing.T) {
-	found, steps, grants, crashes, lost, given := 0, 0, 0, 0, 0, 0
+	found, steps, grants, crashes, lost, given, spent := 0, 0, 0, 0, 0, 0, 0
 	for seed := *firstSeed; seed < *firstSeed+uint64(*worlds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			cryptotest.SetGlobalRandom(t, seed) // Raft draws its election times there
 			w := newWorld(t, seed)
 			w.play()
 			steps, grants, crashes = steps+w.steps, grants+w.grants, crashes+w.crashes
-			lost, given = lost+w.lost, given+w.given
+			lost, given, spent = lost+w.lost, given+w.given, spent+w.spent
 			if w.bad != "" {
 				found++
 				if *spoilt == "" {
@@ -675,7 +757,7 @@
 			}
 		})
 	}
-	t.Logf("%d worlds, %d steps, %d grants, %d crashes, %d disks lost, %d seats given to another disk, %d found bad", *worlds, steps, grants, crashes, lost, given, found)
+	t.Logf("%d worlds, %d steps, %d grants, %d crashes, %d disks lost, %d seats given to another disk, %d units spent, %d found bad", *worlds, steps, grants, crashes, lost, given, spent, found)
 	if *spoilt != "" && found == 0 {
 		t.Errorf("spoilt by %s, and the judge found nothing in %d worlds", *spoilt, *worlds)
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -26,6 +26,8 @@
 	"errors"
 	"fmt"
 	"math"
+
+	"brackenfront/budget"
 )
 
 // ID names a session: one process from its start, or from the loss of its last session, on. Drawn by chance of 128 bits.
@@ -85,6 +87,7 @@
 	Acquire Kind = iota + 1 // a place of a lease, at once or in line
 	Release                 // the place held, or the one in line
 	Write                   // the lease's note, by whoever holds a place of it
+	Define                  // a budget's terms, by whoever holds BudgetsLease
 )
 
 // Op is one operation of a call.
@@ -94,6 +97,8 @@
 	Places int     `cbor:"3,keyasint,omitempty"` // of the lease: 1 unless it is a counted one
 	Wait   float64 `cbor:"4,keyasint,omitempty"` // seconds that it may stand in line; 0 for not at all
 	Note   []byte  `cbor:"5,keyasint,omitempty"` // that is written; none takes the note away
+
+	Budget *budget.Terms `cbor:"6,keyasint,omitempty"` // that are stated; none takes the budget away
 }
 
 func (o Op) check() bool {
@@ -107,6 +112,8 @@
 		return true
 	case Write:
 		return len(o.Note) <= MostNote
+	case Define:
+		return o.Budget == nil || o.Budget.Check() == nil
 	}
 	return false
 }
@@ -122,6 +129,7 @@
 	End     bool   `cbor:"6,keyasint,omitempty"` // the session is over: all it holds is free
 	Ops     []Op   `cbor:"7,keyasint,omitempty"`
 	Addr    string `cbor:"8,keyasint,omitempty"` // where the process listens for the fleet, said when the session opens
+	Uses    []Use  `cbor:"9,keyasint,omitempty"` // of budgets
 }
 
 // Status is what became of an operation or a call.
@@ -163,7 +171,8 @@
 	Now     float64  `cbor:"6,keyasint"`           // the council's time
 	Terms   *Terms   `cbor:"7,keyasint,omitempty"` // when the session opens
 	Results []Result `cbor:"8,keyasint,omitempty"`
-	News    []Grant  `cbor:"9,keyasint,omitempty"` // granted out of lines and not yet told
+	News    []Grant  `cbor:"9,keyasint,omitempty"`  // granted out of lines and not yet told
+	Shares  []Share  `cbor:"10,keyasint,omitempty"` // of budgets, that the session has not said to have carried out
 }
 
 // Grant is one place of one lease given to a session.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -176,7 +176,7 @@
 				for range rapid.IntRange(0, 4).Draw(t, "ops") {
 					name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 					call.Ops = append(call.Ops, Op{Kind(rapid.IntRange(1, 3).Draw(t, "kind")), name, map[string]int{"a": 1, "b": 1, "c": 3}[name],
-						rapid.Float64Range(0, 20).Draw(t, "wait"), []byte{1}})
+						rapid.Float64Range(0, 20).Draw(t, "wait"), []byte{1}, nil})
 				}
 				old = append(old, call)
 			}
--- a/lease/session.go
+++ b/lease/session.go
@@ -1,8 +1,11 @@
 package lease
 
 import (
+	"maps"
 	"math"
 	"slices"
+
+	"brackenfront/budget"
 )
 
 // Right is until when a holder may act, by its own clock.
@@ -36,11 +39,16 @@
 
 	right  Right
 	seen   uint64
+	uses   map[string]Use   // of budgets, as they were said last
+	unsaid map[string]bool  // of these, those to go with the next call
+	shares map[string]Share // of budgets, as the council said last
+	told   []Share          // statements that the caller has not taken
 	wants  map[string]*want
 	events []Event
 	ending bool // nothing more is asked for
 	over   bool // and the council knows
 	stay   bool // open though nothing is asked
+	hurry  bool // what is said of budgets is not to wait for a renewal
 
 	pace Pace
 }
@@ -78,7 +86,7 @@
 
 // NewSession makes the side of a process that listens for the fleet at addr, if anywhere. draw gives ids by chance, never the same twice.
 func NewSession(owner, addr string, draw func() ID) *Session {
-	return &Session{id: draw(), owner: owner, addr: addr, draw: draw, wants: map[string]*want{}}
+	return &Session{id: draw(), owner: owner, addr: addr, draw: draw, wants: map[string]*want{}, uses: map[string]Use{}, unsaid: map[string]bool{}, shares: map[string]Share{}}
 }
 
 // Stay keeps the session open though nothing is asked for, so that the council knows of this process.
@@ -126,6 +134,16 @@
 	return true
 }
 
+// Define states a budget, or takes it away, under BudgetsLease. What becomes of it is an event of that lease's note.
+func (s *Session) Define(name string, t *budget.Terms) bool {
+	w := s.wants[BudgetsLease]
+	if w == nil || w.stage != Granted || w.dropped || s.ending {
+		return false
+	}
+	s.ops = append(s.ops, Op{Kind: Define, Name: name, Budget: t})
+	return true
+}
+
 func (s *Session) drop(w *want) {
 	if !w.dropped {
 		w.dropped = true
@@ -133,6 +151,31 @@
 	}
 }
 
+// Use says what was used and refused of a budget since it was said last; it goes with the next call, which the caller's
+// renewals bring. Soon is to have that call go at once: a share was cut, and others wait for it.
+func (s *Session) Use(name string, used, refused budget.Amount, soon bool) {
+	u := s.uses[name]
+	u.Name, u.Used, u.Refused = name, used, refused
+	s.uses[name], s.unsaid[name] = u, true
+	s.hurry = s.hurry || soon
+}
+
+// Ack says that a statement of a share has been carried out: no more than that is used, nor ever will be by an earlier one.
+func (s *Session) Ack(name string, number uint64) {
+	u := s.uses[name]
+	u.Name, u.Ack = name, max(u.Ack, number)
+	s.uses[name], s.unsaid[name] = u, true
+	s.hurry = true
+}
+
+// Shares gives the statements that have come since it was last called, the newest of each budget; the zero Share of all, if
+// the session or its right is over: nothing of any budget may be used beyond the floor then. The slice is reused.
+func (s *Session) Shares() []Share {
+	t := s.told
+	s.told = s.told[:0]
+	return t
+}
+
 // End gives up everything with the next call, whatever call is out, and asks for nothing more. What the process does
 // under its leases has to have ended before.
 func (s *Session) End() {
@@ -164,7 +207,7 @@
 	}
 	if s.out == nil {
 		switch {
-		case len(s.ops) > 0 || (s.number > 0 || s.stay) && now >= s.renew:
+		case len(s.ops) > 0 || (s.number > 0 || s.stay) && (now >= s.renew || s.hurry):
 			s.number++
 			n := min(len(s.ops), MostOps)
 			if i := slices.IndexFunc(s.ops, func(o Op) bool { return o.Kind == Write }); i >= 0 {
@@ -172,6 +215,14 @@
 			}
 			s.out = &Call{Session: s.id, Number: s.number, Ops: slices.Clone(s.ops[:n]), Seen: s.seen}
 			s.ops = slices.Delete(s.ops, 0, n)
+			s.hurry = false
+			for _, name := range slices.Sorted(maps.Keys(s.unsaid)) {
+				if len(s.out.Uses) == mostUses {
+					break
+				}
+				s.out.Uses = append(s.out.Uses, s.uses[name])
+				delete(s.unsaid, name)
+			}
 			if s.number == 1 {
 				s.out.Owner, s.out.Addr = s.owner, s.addr
 			}
@@ -206,7 +257,7 @@
 		return due
 	case s.out != nil:
 		due = s.again
-	case len(s.ops) > 0:
+	case len(s.ops) > 0 || s.hurry && s.number > 0:
 		due = 0
 	case s.number > 0 || s.stay:
 		due = s.renew
@@ -266,12 +317,18 @@
 	for _, g := range a.News {
 		s.granted(g)
 	}
+	for _, o := range a.Shares {
+		if o.Number > s.shares[o.Name].Number {
+			s.shares[o.Name] = o
+			s.told = append(s.told, o)
+		}
+	}
 	s.seen = max(s.seen, a.Token)
 	s.lapse(now)
 }
 
 func (s *Session) result(o Op, r Result) {
-	if o.Kind == Write {
+	if o.Kind == Write || o.Kind == Define {
 		s.tell(Event{Name: o.Name, Status: r.Status, Token: r.Token, Note: true})
 		return
 	}
@@ -339,6 +396,10 @@
 func (s *Session) lost() {
 	s.id, s.number, s.out, s.seen, s.ops = s.draw(), 0, nil, 0, nil
 	s.right, s.renew, s.tries, s.pace = Right{}, 0, s.tries[:0], Pace{}
+	clear(s.uses)
+	clear(s.unsaid)
+	clear(s.shares)
+	s.told = append(s.told[:0], Share{})
 	all := make([]string, 0, len(s.wants))
 	for n := range s.wants {
 		all = append(all, n)
--- a/lease/small_test.go
+++ b/lease/small_test.go
@@ -34,6 +34,7 @@
 		c.out = &o
 	}
 	c.tries, c.ops, c.events = slices.Clone(s.tries), slices.Clone(s.ops), slices.Clone(s.events)
+	c.uses, c.unsaid, c.shares, c.told = maps.Clone(s.uses), maps.Clone(s.unsaid), maps.Clone(s.shares), slices.Clone(s.told)
 	c.wants = map[string]*want{}
 	for n, w := range s.wants {
 		v := *w
--- a/lease/state.go
+++ b/lease/state.go
@@ -20,6 +20,8 @@
 	byID     map[ID]*session
 	lines    map[string]*line
 	notes    map[string]*Note
+	pots     map[string]*pot
+	stating  uint64  // the last statement of a share
 	next     float64 // nothing ends by itself before this
 	news     []Grant // granted out of lines since Told
 }
@@ -33,6 +35,7 @@
 	News    []Grant  `cbor:"6,keyasint,omitempty"`
 	Names   []string `cbor:"7,keyasint,omitempty"` // held or waited for
 	Addr    string   `cbor:"8,keyasint,omitempty"`
+	Pots    []string `cbor:"9,keyasint,omitempty"` // budgets that it uses
 }
 
 // line is one lease.
@@ -65,7 +68,7 @@
 // those of a council that was lost whole stay lower, if its operator counts the foundings.
 func New(t Terms, founding uint32) *State {
 	return &State{terms: t, from: t.Kept(), next: t.Kept(), token: uint64(founding) << 40,
-		byID: map[ID]*session{}, lines: map[string]*line{}, notes: map[string]*Note{}}
+		byID: map[ID]*session{}, lines: map[string]*line{}, notes: map[string]*Note{}, pots: map[string]*pot{}}
 }
 
 // Now is the council's time in seconds since its founding.
@@ -103,7 +106,7 @@
 
 func (s *State) call(c *Call) Answer {
 	a := Answer{Session: c.Session, Number: c.Number, Attempt: c.Attempt, Status: Done, Now: s.now}
-	if len(c.Ops) > MostOps || len(c.Owner) > mostName || len(c.Addr) > mostName || c.Number == 0 {
+	if len(c.Ops) > MostOps || len(c.Uses) > mostUses || len(c.Owner) > mostName || len(c.Addr) > mostName || c.Number == 0 {
 		a.Status = Bad
 		return a
 	}
@@ -141,8 +144,11 @@
 		for i, o := range c.Ops {
 			p.Results[i] = s.op(p, o)
 		}
+		for _, u := range c.Uses {
+			s.use(p, u)
+		}
 	}
-	a.Results, a.News, a.Token = p.Results, slices.Clone(p.News), s.token
+	a.Results, a.News, a.Token, a.Shares = p.Results, slices.Clone(p.News), s.token, s.tell(p)
 	return a
 }
 
@@ -151,8 +157,11 @@
 		return Result{Status: Bad}
 	}
 	l := s.lines[o.Name]
-	if o.Kind == Write {
+	switch o.Kind {
+	case Write:
 		return s.write(p, l, o)
+	case Define:
+		return s.define(p, o)
 	}
 	if o.Kind == Release {
 		if l != nil {
@@ -272,6 +281,7 @@
 			s.leave(p, l)
 		}
 	}
+	s.quit(p)
 }
 
 func (s *State) due(t float64) { s.next = min(s.next, t) }
@@ -303,6 +313,7 @@
 		})
 		s.promote(l)
 	}
+	s.linger()
 }
 
 func (s *State) names() []string {
@@ -397,6 +408,8 @@
 	Sessions []*session `cbor:"6,keyasint"`
 	Lines    []*line    `cbor:"7,keyasint"`
 	Notes    []*Note    `cbor:"8,keyasint,omitempty"`
+	Pots     []*pot     `cbor:"9,keyasint,omitempty"`
+	Stating  uint64     `cbor:"10,keyasint,omitempty"`
 }
 
 var (
@@ -424,13 +437,16 @@
 
 // Image gives the whole state as bytes, the same on every member that has applied the same commands.
 func (s *State) Image() []byte {
-	m := image{s.terms, s.now, s.from, s.token, s.next, s.sessions, make([]*line, 0, len(s.lines)), nil}
+	m := image{s.terms, s.now, s.from, s.token, s.next, s.sessions, make([]*line, 0, len(s.lines)), nil, nil, s.stating}
 	for _, n := range s.names() {
 		m.Lines = append(m.Lines, s.lines[n])
 	}
 	for _, n := range slices.Sorted(maps.Keys(s.notes)) {
 		m.Notes = append(m.Notes, s.notes[n])
 	}
+	for _, n := range s.potNames() {
+		m.Pots = append(m.Pots, s.pots[n])
+	}
 	return Encode(m)
 }
 
@@ -440,8 +456,8 @@
 	if err := Decode(b, &m); err != nil {
 		return nil, err
 	}
-	s := &State{terms: m.Terms, now: m.Now, from: m.From, token: m.Token, next: m.Next, sessions: m.Sessions,
-		byID: map[ID]*session{}, lines: map[string]*line{}, notes: map[string]*Note{}}
+	s := &State{terms: m.Terms, now: m.Now, from: m.From, token: m.Token, stating: m.Stating, next: m.Next, sessions: m.Sessions,
+		byID: map[ID]*session{}, lines: map[string]*line{}, notes: map[string]*Note{}, pots: map[string]*pot{}}
 	for _, p := range s.sessions {
 		s.byID[p.ID] = p
 	}
@@ -451,5 +467,8 @@
 	for _, n := range m.Notes {
 		s.notes[n.Name] = n
 	}
+	for _, pt := range m.Pots {
+		s.pots[pt.Name] = pt
+	}
 	return s, nil
 }
