--- a/internal/fleet/budgets.go
+++ b/internal/fleet/budgets.go
@@ -42,16 +42,25 @@
 // Budgets states what this broker takes the fleet's budgets for: it lives on the floors until the council says more, and
 // where it holds the lease for that it has the council state them. It may be called again with others.
 func (n *Node) Budgets(own map[string]budget.Terms) {
-	p := n.purses
-	p.mu.Lock()
-	now := n.world.Now()
-	p.own = maps.Clone(own)
-	for _, name := range slices.Sorted(maps.Keys(own)) {
-		p.all.Open(now, name, own[name])
+	p, done := n.purses, make(chan struct{})
+	own = maps.Clone(own)
+	if !n.client.do(func() { // it speaks to the session, which that goroutine owns
+		defer close(done)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		now := n.world.Now()
+		p.own = own
+		for _, name := range slices.Sorted(maps.Keys(own)) {
+			p.all.Open(now, name, own[name])
+		}
+		p.publish(now)
+	}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-n.client.over:
 	}
-	p.publish(now)
-	p.mu.Unlock()
-	n.client.do(func() {}) // to look at once
 }
 
 // Spend takes one unit of a rate, Hold one of a stock that Release gives back; false where there is none. They may be called
@@ -107,7 +116,7 @@
 	p.publish(now)
 }
 
-// publish puts down what may be used, if that has changed by more than its end.
+// publish puts down what may be used, if that has changed. The session's goroutine calls it.
 func (p *purses) publish(now float64) {
 	names := p.all.Names()
 	if len(names) == 0 {
--- a/internal/fleet/council/worlds_test.go
+++ b/internal/fleet/council/worlds_test.go
@@ -242,15 +242,14 @@
 	for i := range k {
 		w.clients = append(w.clients, lease.NewSession(fmt.Sprint("c", i), "", w.draw))
 		w.purses = append(w.purses, lease.NewPurses(w.clients[i], w.terms.Drift))
-		if !*budgets {
-			continue
+		if *budgets {
+			w.after(w.rnd.Next(), n+i, func() {
+				for _, name := range []string{"rate", "stock"} {
+					w.purses[i].Open(w.clock(n+i), name, w.pots[name])
+				}
+				w.spend(i, 1+4*w.rnd.Next()*w.rnd.Next()*w.rnd.Next())
+			})
 		}
-		w.after(w.rnd.Next(), n+i, func() {
-			for _, name := range []string{"rate", "stock"} {
-				w.purses[i].Open(w.clock(n+i), name, w.pots[name])
-			}
-			w.spend(i, 1+4*w.rnd.Next()*w.rnd.Next()*w.rnd.Next())
-		})
 		w.toward = append(w.toward, int(w.rnd.Next()*float64(n)))
 		w.after(w.rnd.Next(), n+i, func() { w.want(i) })
 		w.after(w.rnd.Next()*0.1, n+i, func() { w.client(i, false) })
--- /dev/null
+++ b/internal/program/withfleet/sharing_test.go
@@ -0,0 +1,99 @@
+package withfleet
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/balance"
+	"brackenfront/internal/fleet"
+	"brackenfront/internal/options"
+	"brackenfront/internal/protocol"
+	"brackenfront/lease"
+)
+
+// TestParts: the module is told its part of dealers' shares and of cold nodes: the floors at first, what the council gives by
+// use then, the floors again once the right has ended, whether or not anybody has looked since.
+func TestParts(t *testing.T) {
+	dir := t.TempDir()
+	keys := filepath.Join(dir, "keys")
+	os.WriteFile(keys, []byte(hex.EncodeToString(make([]byte, 32))), 0o600)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	terms := lease.Usual()
+	terms.TTL, terms.Drift = 0.8, 0.05
+	s := fleet.Stated{Keys: keys, Founding: 1, Terms: terms, Tick: 20 * time.Millisecond, Shared: true}
+	for i := range 3 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Council = append(s.Council, fleet.Named{Broker: fmt.Sprint("b", i), Addr: ln.Addr().String()})
+		ln.Close()
+	}
+	o := &options.Options{}
+	o.Fleet.Budgets, o.Fleet.Brokers, o.Fleet.Floor = true, 4, 20
+	d := &protocol.Deployment{Dealers: map[string]int{"acme": 0, "other": 1}, Terms: balance.Terms{Quotas: []float64{100, 40}, Fall: 0.1}}
+	var all []*party
+	for i, one := range s.Council {
+		s := s
+		s.Broker, s.Listen, s.Dir = one.Broker, one.Addr, filepath.Join(dir, one.Broker)
+		os.Mkdir(s.Dir, 0o700)
+		n, err := fleet.Start(s, fleet.Real(), log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := &party{Node: n, o: o}
+		p.Settle(d)
+		if q := p.Parts(); i == 0 && (q.Quotas[0] != 5 || q.Quotas[1] != 2 || q.Part != 0.05) {
+			t.Errorf("at first: %+v", q)
+		}
+		all = append(all, p)
+	}
+	until := func(what string, over func() bool) {
+		t.Helper()
+		for end := time.Now().Add(30 * time.Second); !over(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("still not: %s: %+v", what, all[0].Parts())
+			}
+		}
+	}
+	until("nearly all of a dealer's share is with whom that dealer asks", func() bool {
+		for range 3 {
+			all[0].Took(0)
+		}
+		all[0].Took(-1)
+		return all[0].Parts().Quotas[0] > 50
+	})
+	if p := all[0].Parts(); p != all[0].Parts() {
+		t.Error("another pointer though nothing has changed")
+	}
+	sum := 0.0
+	for _, p := range all {
+		sum += p.Parts().Part
+	}
+	if sum > 1.0001 || all[0].Parts().Part < 0.2 { // floors of four, the rest by the three that live
+		t.Errorf("parts of cold nodes: %v in all, %v", sum, all[0].Parts().Part)
+	}
+	end, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	all[1].Close(end)
+	all[2].Close(end)
+	until("the floors are left", func() bool { p := all[0].Parts(); return p.Quotas[0] == 5 && p.Part == 0.05 })
+	all[0].Close(end)
+
+	// Held by nobody, parts that were given end by the clock alone.
+	p := &party{Node: all[0].Node, o: o}
+	p.now.Store(&sharing{names: []string{"quota/acme"}})
+	if q := p.Parts(); q.Quotas[0] != 5 {
+		t.Errorf("%+v", q)
+	}
+}
