Division follows what was used of what was had; statements that others wait for are told at once

Cause: what it had used under its old share was held against its new one (budget.want), small brokers' shares followed noise, small changes that were needed were held back.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -110,22 +110,26 @@
 // Claim is one broker's in a division.
 type Claim struct {
 	Has     Amount // what it was told last, beyond its floor
-	Used    Amount // of all it has, floor and share, in the time since
+	Had     Amount // floor and share, in the time of which it tells:
+	Used    Amount // of that
 	Refused Amount // more that it had use for
 	Weight  int64  // 0 counts as 1
 }
 
 const (
-	grow   = 4  // a share may grow to so many times what is used, in one division
+	grow   = 8  // a share may grow to so many times what is used, in one division
 	full   = 5  // refusals count once more than four in so many parts of what a broker has are used
 	band   = 8  // changes of less than one in so many parts of a share change nothing
 	starts = 16 // of an even part, what one that had nothing may begin with
+
+	surely = 2.5  // deviations from what is usual that are no chance
+	smooth = 0.25 // weight of the newest count otherwise
 )
 
 // want is what a broker's use says that it needs beyond its floor. Refusals count only from one that uses what it has, and
 // never for more than some times that: who asks for more than it uses gains nothing.
 func (t Terms) want(c Claim, free Amount, n int) Amount {
-	used, refused, has := max(c.Used, 0), max(c.Refused, 0), c.Has+t.Floor
+	used, refused, has := max(c.Used, 0), max(c.Refused, 0), max(c.Had, t.Floor)
 	even := max(free/int64(max(n, 1)), 1)
 	need := used + used/band
 	if used >= has-has/full {
@@ -148,6 +152,7 @@
 		wants[i], weights[i] = t.want(c, free, n), min(max(c.Weight, 1), mostBrokers)
 	}
 	fill(shares, wants, weights, free)
+	need := slices.Clone(wants)
 	left := free
 	for _, s := range shares {
 		left -= s
@@ -167,7 +172,7 @@
 	kept := make([]bool, n)
 	target := slices.Clone(shares)
 	for i, c := range claims {
-		if d := shares[i] - c.Has; c.Has > 0 && max(d, -d) <= c.Has/band {
+		if d := shares[i] - c.Has; c.Has > 0 && max(d, -d) <= c.Has/band && (c.Has >= need[i] || d <= 0) {
 			shares[i], kept[i] = c.Has, true
 		}
 		sum += shares[i]
@@ -244,8 +249,9 @@
 	at    float64 // when that was so
 	held  int64   // units of a stock
 
-	used, refused int64 // since they were last asked for
-	offered       int64 // of what others decide on by the share alone
+	used, refused int64   // since they were last asked for
+	offered       int64   // of what others decide on by the share alone
+	usual         float64 // units a second that were asked for, smoothed
 	since         float64
 	peak          int64 // of what was held
 }
@@ -350,20 +356,25 @@
 	return max(p.held-p.room(), 0)
 }
 
-// Demand is what was used and what was refused since it was last asked, as amounts; for a rate by the second.
-func (p *Purse) Demand(now float64) (used, refused Amount) {
+// Demand is what the broker had, used and refused since it was last asked, as amounts; for a rate by the second, and smoothed as
+// long as it moves no more than chance does: small numbers would have shares follow noise.
+func (p *Purse) Demand(now float64) (had, used, refused Amount) {
+	had = p.terms.Floor + p.share
 	d := max(now-p.since, 1e-3)
-	u, r := p.used, p.refused
-	if p.offered > 0 {
-		within := min(p.offered, int64(float64(p.terms.Floor+p.share)/float64(Unit)*d+0.5))
-		u, r, p.offered = u+within, r+p.offered-within, 0
-	}
-	p.used, p.refused, p.since = 0, 0, now
+	u, r := p.used, p.refused+p.offered
+	p.used, p.refused, p.offered, p.since = 0, 0, 0, now
 	if p.terms.Kind == Stock {
 		peak := p.peak
 		p.peak = p.held
-		return peak * Unit, min(r, 1<<20) * Unit
+		return had, peak * Unit, min(r, 1<<20) * Unit
+	}
+	n, usual := float64(u+r), p.usual*d
+	if math.Abs(n-usual) > surely*math.Sqrt(max(usual, 1))+1 {
+		p.usual = n / d
+	} else {
+		p.usual += smooth * (n/d - p.usual)
 	}
-	rate := func(n int64) Amount { return Amount(math.Min(float64(n)*float64(Unit)/d, mostAmount)) }
-	return rate(u), rate(r)
+	all := Amount(math.Min(p.usual*float64(Unit), mostAmount))
+	used = min(all, had)
+	return had, used, all - used
 }
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -431,7 +431,13 @@
 			case kind == frameNews:
 				var g lease.Grant
 				if err = wire.Unpack(raw, &g); err == nil {
-					f = func() { c.session.News(c.n.world.Now(), g) }
+					f = func() {
+						if g.Name == "" {
+							c.session.Stir()
+							return
+						}
+						c.session.News(c.n.world.Now(), g)
+					}
 				}
 			case kind == frameFacts && c.n.trial != nil:
 				var all []trials.Fact
--- a/internal/fleet/council/member.go
+++ b/internal/fleet/council/member.go
@@ -105,8 +105,9 @@
 	Messages []*pb.Message
 	Replies  []Reply
 	News     []lease.Grant
-	Lead     uint64 // number of the leader, 0 for none known
-	Changed  bool   // the seats, or the leader
+	Stirred  []lease.ID // sessions that should call soon
+	Lead     uint64     // number of the leader, 0 for none known
+	Changed  bool       // the seats, or the leader
 }
 
 // Member is one seat.
@@ -295,6 +296,7 @@
 	}
 	if m.state != nil {
 		m.out.News = append(m.out.News, m.state.Told()...)
+		m.out.Stirred = append(m.out.Stirred, m.state.Stirred()...)
 	}
 	m.out.Lead = m.lead
 	m.out.Changed = m.out.Changed || m.lead != before
@@ -303,7 +305,7 @@
 
 // Clear ends what Turn gave.
 func (m *Member) Clear() {
-	m.out.Messages, m.out.Replies, m.out.News, m.out.Changed = m.out.Messages[:0], m.out.Replies[:0], m.out.News[:0], false
+	m.out.Messages, m.out.Replies, m.out.News, m.out.Stirred, m.out.Changed = m.out.Messages[:0], m.out.Replies[:0], m.out.News[:0], m.out.Stirred[:0], false
 }
 
 // propose puts what was asked, and time that has come, into the log, if this member leads.
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -226,6 +226,14 @@
 			}
 		}
 	}
+	for _, id := range out.Stirred {
+		if c := s.news[id]; c != nil {
+			select {
+			case c.news <- lease.Grant{Session: id}: // of no lease: it has to call
+			default:
+			}
+		}
+	}
 	if out.Changed {
 		s.reseat()
 		if out.Lead != s.lead {
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -285,7 +285,7 @@
 	o.Flight.HeldMB, o.Flight.PartMB, o.Flight.Streams, o.Flight.Conns = 32, 16, 64, 64
 	o.Halls.Spill, o.Halls.WaitMS, o.Halls.LongestMS, o.Halls.ForgetMS = 80, 2000, 60_000, 60_000
 	o.Fleet.Founding, o.Fleet.TTLMS, o.Fleet.Drift, o.Fleet.TickMS = 1, 10_000, 10, 100
-	o.Fleet.ReportS, o.Fleet.Floor = 60, 20
+	o.Fleet.ReportS, o.Fleet.Floor = 60, 10
 	o.Log.Level, o.Log.Format = "info", "text"
 	var wrong []error
 	put := func(name string, v any, from string) {
--- a/lease/pots.go
+++ b/lease/pots.go
@@ -21,6 +21,7 @@
 	Name    string        `cbor:"1,keyasint"`
 	Used    budget.Amount `cbor:"2,keyasint,omitempty"`
 	Refused budget.Amount `cbor:"3,keyasint,omitempty"`
+	Had     budget.Amount `cbor:"5,keyasint,omitempty"` // meanwhile
 	Ack     uint64        `cbor:"4,keyasint,omitempty"` // the last statement of its share that it has carried out
 }
 
@@ -52,6 +53,7 @@
 	Aim     budget.Amount `cbor:"5,keyasint"` // what the last division would have it have
 	Used    budget.Amount `cbor:"6,keyasint"`
 	Refused budget.Amount `cbor:"7,keyasint"`
+	Had     budget.Amount `cbor:"9,keyasint"`
 	Ack     uint64        `cbor:"8,keyasint"` // the last statement that it has carried out
 }
 
@@ -110,7 +112,7 @@
 		pt.Next = 0 // a newcomer is not kept waiting
 	}
 	g := pt.Shares[i]
-	g.Used, g.Refused = max(u.Used, 0), max(u.Refused, 0)
+	g.Used, g.Refused, g.Had = max(u.Used, 0), max(u.Refused, 0), max(u.Had, 0)
 	if g.Ack = max(g.Ack, u.Ack); g.Ack >= g.Number && g.Most > g.Told {
 		g.Most = g.Told
 		s.pour(pt)
@@ -125,13 +127,14 @@
 	pt.Next = s.now + s.terms.TTL/divisions
 	claims := make([]budget.Claim, len(pt.Shares))
 	for i, g := range pt.Shares {
-		claims[i] = budget.Claim{Has: g.Told, Used: g.Used, Refused: g.Refused}
+		claims[i] = budget.Claim{Has: g.Told, Had: g.Had, Used: g.Used, Refused: g.Refused}
 	}
 	for i, aim := range pt.Terms.Divide(pt.free(), claims) {
 		g := pt.Shares[i]
 		if g.Aim = aim; aim < g.Told {
 			s.stating++
 			g.Told, g.Number = aim, s.stating
+			s.stirred = append(s.stirred, g.Session)
 		}
 	}
 	s.pour(pt)
@@ -150,6 +153,9 @@
 		}
 		s.stating++
 		free -= max(more-g.Most, 0)
+		if g.Refused > 0 {
+			s.stirred = append(s.stirred, g.Session)
+		}
 		g.Told, g.Number, g.Most = more, s.stating, max(g.Most, more)
 	}
 }
--- a/lease/purses.go
+++ b/lease/purses.go
@@ -42,7 +42,7 @@
 	p.all[name] = &purse{Purse: budget.NewPurse(own, p.drift, now), floor: own.Floor}
 	p.names = append(p.names, name)
 	slices.Sort(p.names)
-	p.s.Use(name, 0, 0, true)
+	p.s.Use(name, 0, 0, 0, true)
 }
 
 // Turn takes what the session has been told, gives up what was cut, says so, and tells the council what was used.
@@ -53,7 +53,7 @@
 				o := p.all[name]
 				o.told, o.acked = Share{}, 0
 				o.Set(now, 0, now)
-				p.s.Use(name, 0, 0, true)
+				p.s.Use(name, 0, 0, 0, true)
 			}
 			continue
 		}
@@ -77,8 +77,8 @@
 	if every := p.every(); now >= p.saidAt+every {
 		p.saidAt = now
 		for _, name := range p.names {
-			used, refused := p.all[name].Demand(now)
-			p.s.Use(name, used, refused, false)
+			had, used, refused := p.all[name].Demand(now)
+			p.s.Use(name, had, used, refused, false)
 		}
 	}
 }
--- a/lease/session.go
+++ b/lease/session.go
@@ -152,11 +152,11 @@
 	}
 }
 
-// Use says what was used and refused of a budget since it was said last; it goes with the next call, which the caller's
+// Use says what a process had, used and refused of a budget since it was said last; it goes with the next call, which the caller's
 // renewals bring. Soon is to have that call go at once: a share was cut, and others wait for it.
-func (s *Session) Use(name string, used, refused budget.Amount, soon bool) {
+func (s *Session) Use(name string, had, used, refused budget.Amount, soon bool) {
 	u := s.uses[name]
-	u.Name, u.Used, u.Refused = name, used, refused
+	u.Name, u.Had, u.Used, u.Refused = name, had, used, refused
 	s.uses[name], s.unsaid[name] = u, true
 	s.hurry = s.hurry || soon
 }
@@ -369,6 +369,9 @@
 	}
 }
 
+// Stir has the session call soon: the council has something to say of its shares.
+func (s *Session) Stir() { s.hurry = true }
+
 // News takes a grant out of a line that the council told without being asked.
 func (s *Session) News(now float64, g Grant) {
 	if g.Session == s.id && g.Token > s.seen {
--- a/lease/state.go
+++ b/lease/state.go
@@ -24,6 +24,7 @@
 	stating  uint64  // the last statement of a share, or birth of a session
 	next     float64 // nothing ends by itself before this
 	news     []Grant // granted out of lines since Told
+	stirred  []ID    // sessions with statements of shares that others wait for, or that they wait for, since Stirred
 }
 
 type session struct {
@@ -90,6 +91,14 @@
 	return n
 }
 
+// Stirred gives the sessions that should call soon, since it was last called: their shares were cut, or raised while they
+// had to refuse. The slice is reused.
+func (s *State) Stirred() []ID {
+	n := s.stirred
+	s.stirred = s.stirred[:0]
+	return n
+}
+
 // Apply carries out one command. The answers are in the order of its calls.
 func (s *State) Apply(c Command) []Answer {
 	if c.At > s.now { // a leader that stood still reads a time that has passed
