--- a/internal/fleetrig/rolls_test.go
+++ b/internal/fleetrig/rolls_test.go
@@ -57,3 +57,49 @@
 	}
 	t.Logf("%+v", res)
 }
+
+// TestDivided: in the program itself a dealer's share is divided among the brokers that live; one that ends in good order
+// leaves its part to the others at once, all of them together never have more than the whole.
+func TestDivided(t *testing.T) {
+	s, err := NewSite(Built{Brokers: 4, Seats: 3, Leaves: 2, TTL: 800 * time.Millisecond, Tick: 20 * time.Millisecond, Dir: t.TempDir(),
+		Set: []string{"fleet.budgets=true", "fleet.brokers=5"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	asking, enough := context.WithCancel(t.Context())
+	_, wait := s.Load(asking, 2, 5*time.Millisecond)
+	defer wait()
+	defer enough()
+	with := func(n int) bool {
+		pots, err := s.Desk().Pots(t.Context())
+		if err != nil || len(pots) != 2 || pots[1].Name != "quota/acme" {
+			return false
+		}
+		used := 0
+		for _, p := range pots {
+			if p.Given > p.Terms.Free(len(p.Parts)) {
+				t.Fatalf("more than the whole: %+v", p)
+			}
+		}
+		for _, o := range pots[1].Parts {
+			if o.Used > 0 && o.Told > 0 {
+				used++
+			}
+		}
+		return len(pots[1].Parts) == n && used >= min(n, 3)
+	}
+	if !s.Wait(t.Context(), patient, func() bool { return with(4) }) {
+		t.Fatal("not divided among four\n", s.Logs(6))
+	}
+	s.All[3].Kill()
+	if !s.Wait(t.Context(), patient, func() bool { return with(3) }) {
+		t.Fatal("a dead broker keeps its part")
+	}
+	if bad := s.Broken(); len(bad) > 0 {
+		t.Error(bad)
+	}
+}
