--- a/internal/fleetrig/body.go
+++ b/internal/fleetrig/body.go
@@ -227,7 +227,7 @@
 		for ok := true; ok && ctx.Err() == nil; {
 			now := machine()
 			if now >= until { // idle, usual, or as much as there is
-				eager, until = []float64{0, 0.3, 2, 4}[int(rnd.Next()*4)], now+0.5+rnd.Next()
+				eager, until = []float64{0, 1, 4, 4}[int(rnd.Next()*4)], now+1+2*rnd.Next()
 			}
 			for more := eager; ok && rnd.Next() < more; more-- {
 				if o.take(n, own, &seen, "rate", now) {
