Connections at one node are divided among the brokers: fleet.node_conns, a stock with one for each for good

A broker's share bounds what any one node gets from it; a call beyond it is turned away unseen, a cut closes unused connections at once and the others with their last call, and counts as carried out only then.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -347,6 +347,9 @@
 // Release gives one back.
 func (p *Purse) Release() { p.held = max(p.held-1, 0) }
 
+// Held says how many units of a stock are held, for one who counts by himself and goes by Share.
+func (p *Purse) Held(n int64) { p.held, p.peak = n, max(p.peak, n) }
+
 // Over is how many units are held beyond what may be: they have to be given back, and a cut counts as carried out only then.
 func (p *Purse) Over(now float64) int64 {
 	p.settle(now)
--- a/internal/fleet/budgets.go
+++ b/internal/fleet/budgets.go
@@ -84,6 +84,14 @@
 	n.client.poke()
 }
 
+// Held says how many units of a stock are held, for one who counts by himself and goes by Parts.
+func (n *Node) Held(name string, units int) {
+	n.purses.mu.Lock()
+	n.purses.all.Held(name, int64(units))
+	n.purses.mu.Unlock()
+	n.client.poke()
+}
+
 // Over is how many units of a stock have to be given back.
 func (n *Node) Over(name string) int64 {
 	n.purses.mu.Lock()
@@ -106,6 +114,14 @@
 
 // turn is called by the goroutine that owns the session, before it sends.
 func (p *purses) turn(now float64) {
+	was := p.parts.Load()
+	p.look(now)
+	if p.n.stated.Own.Divided != nil && p.parts.Load() != was {
+		p.n.stated.Own.Divided()
+	}
+}
+
+func (p *purses) look(now float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.offer.Range(func(name, c any) bool {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -49,6 +49,7 @@
 	Ready    func() bool             // it takes searches
 	Switch   func() error            // reads its settings again; an error leaves the former in force
 	Restart  func()                  // begins to end in good order
+	Divided  func()                  // Parts has changed; it must not wait
 }
 
 // Seated is whether this broker is one of the council.
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -38,24 +38,25 @@
 		Ranks     *halls.Order // Order, read
 	}
 	Fleet struct {
-		Broker   string // this one's name in the fleet
-		Council  []string
-		Listen   string // address for the fleet alone
-		Keys     string // file of one or two keys
-		Dir      string // folder of a seat in the council
-		Founding int    // counts the councils that these brokers have founded
-		TTLMS    int    // of a lease
-		Drift    int    // how far clocks may be off, in thousandths
-		TickMS   int    // a tenth of the least time until a leader is replaced
-		Report   string // file of a report on the whole fleet, where this broker makes it
-		ReportS  int    // seconds between two
-		Roll     bool   // takes turns in rolls, and leads them from a seat
-		Budgets  bool   // what is stated for all brokers is divided among those that live
-		Brokers  int    // there are no more: floors are carved out for so many
-		Floor    int    // percent of each budget that is divided evenly for good
-		Trials   bool   // nodes that are out are tried by one broker of a hall for all
-		Restarts bool   // whatever started this broker starts it again
-		Seats    []Seat // Council, read; none: the fleet is off
+		Broker    string // this one's name in the fleet
+		Council   []string
+		Listen    string // address for the fleet alone
+		Keys      string // file of one or two keys
+		Dir       string // folder of a seat in the council
+		Founding  int    // counts the councils that these brokers have founded
+		TTLMS     int    // of a lease
+		Drift     int    // how far clocks may be off, in thousandths
+		TickMS    int    // a tenth of the least time until a leader is replaced
+		Report    string // file of a report on the whole fleet, where this broker makes it
+		ReportS   int    // seconds between two
+		Roll      bool   // takes turns in rolls, and leads them from a seat
+		Budgets   bool   // what is stated for all brokers is divided among those that live
+		Brokers   int    // there are no more: floors are carved out for so many
+		Floor     int    // percent of each budget that is divided evenly for good
+		NodeConns int    // connections that one node may have from all brokers; 0 for no bound
+		Trials    bool   // nodes that are out are tried by one broker of a hall for all
+		Restarts  bool   // whatever started this broker starts it again
+		Seats     []Seat // Council, read; none: the fleet is off
 	}
 	Log struct {
 		Level  string
@@ -107,6 +108,7 @@
 	yes("fleet.budgets", func(o *Options) *bool { return &o.Fleet.Budgets }),
 	number("fleet.brokers", 0, 1<<16, func(o *Options) *int { return &o.Fleet.Brokers }),
 	number("fleet.floor_percent", 1, 100, func(o *Options) *int { return &o.Fleet.Floor }),
+	number("fleet.node_conns", 0, 1<<20, func(o *Options) *int { return &o.Fleet.NodeConns }),
 	yes("fleet.trials", func(o *Options) *bool { return &o.Fleet.Trials }),
 	yes("fleet.restarts", func(o *Options) *bool { return &o.Fleet.Restarts }),
 	number("fleet.founding", 1, 1<<20, func(o *Options) *int { return &o.Fleet.Founding }),
@@ -184,6 +186,10 @@
 	if f.Budgets && f.Brokers < len(f.Council) {
 		say("brokers", "got %d, expected how many brokers there are at the most, as fleet.budgets is true", f.Brokers)
 	}
+	if f.NodeConns > 0 && (!f.Budgets || f.NodeConns < 2*f.Brokers) {
+		say("node_conns", "got %d, expected 0, or with fleet.budgets at least two for each of fleet.brokers, %d: one that it may have for good, one that it may be dialling",
+			f.NodeConns, f.Brokers)
+	}
 	if f.Trials && o.Halls.Guard {
 		say("trials", "got true, expected false with halls.guard: what is news of a node would pass for the broker's own knowledge of its hall")
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -49,6 +49,7 @@
 	Ready    func() bool
 	Switch   func() error // as SIGHUP does
 	Restart  func()       // as SIGTERM does; whatever started the program starts it again
+	Divided  func()       // parts of budgets have changed
 }
 
 // Party is this process's part in the fleet. Searches never wait for it.
@@ -58,7 +59,9 @@
 	Report()
 	Close(ctx context.Context)
 	routing.Budgets
-	Shares() bool // whether budgets are divided; then Settle says by which settings, before Parts is first asked
+	Connections() int   // that one node may have from here; 0 for any number; from any goroutine
+	Connected(most int) // that the node with most of them has
+	Shares() bool       // whether budgets are divided; then Settle says by which settings, before Parts is first asked
 	Settle(d *protocol.Deployment)
 	routing.Trials
 	Tries() bool // whether trials of nodes go by way of it
@@ -380,13 +383,14 @@
 	}
 
 	var party Party
-	asked := wishes{turns: make(chan chan error), restart: make(chan struct{}, 1), over: make(chan struct{})}
+	asked := wishes{turns: make(chan chan error), restart: make(chan struct{}, 1), trim: make(chan struct{}, 1), over: make(chan struct{})}
 	defer close(asked.over)
 	if len(chosen.Fleet.Seats) > 0 {
 		if party, err = extra.Fleet.Start(chosen, boot, asked.own(router, tripper), log); err != nil {
 			return err
 		}
 		if party.Shares() {
+			fleet.Bound(party.Connections, party.Connected)
 			party.Settle(boot.Deployment)
 			router.Share(party)
 		}
@@ -512,6 +516,8 @@
 			} else {
 				told <- reload()
 			}
+		case <-asked.trim:
+			fleet.Trim()
 		case <-asked.restart:
 			if !draining {
 				log.Info("draining to be started again")
@@ -544,13 +550,23 @@
 type wishes struct {
 	turns   chan chan error
 	restart chan struct{}
+	trim    chan struct{} // parts of budgets have changed
 	over    chan struct{} // closed when the program has ended
 	serving atomic.Bool   // it has said that it serves, and is not draining
 }
 
+// cut has connections beyond a share closed soon.
+func (w *wishes) cut() {
+	select {
+	case w.trim <- struct{}{}:
+	default: // asked already
+	}
+}
+
 func (w *wishes) own(router *routing.Router, tripper *routing.Tripper) Own {
 	return Own{
 		Counters: func() map[string]int64 { return tally(router, tripper) },
+		Divided:  w.cut,
 		Ready:    func() bool { return w.serving.Load() && router.Ready() },
 		Switch: func() error {
 			told := make(chan error, 1)
--- a/internal/program/withfleet/sharing.go
+++ b/internal/program/withfleet/sharing.go
@@ -38,11 +38,33 @@
 // cold is the budget of what cold nodes may get: parts of one whole.
 const cold, whole = "cold", 1000 * budget.Unit
 
+// conns is the budget of connections at one node: what is told for one holds at each.
+const conns = "conns"
+
+// Connections is how many one node may have from this broker, 0 for any number. It may be called from any goroutine.
+func (p *party) Connections() int {
+	if p.o.Fleet.NodeConns == 0 {
+		return 0
+	}
+	f := p.Node.Parts()
+	a := f.Floors[conns]
+	if !p.Lapsed(f) {
+		a += f.Shares[conns]
+	}
+	return int(max(a/budget.Unit, 1))
+}
+
+// Connected hears how many the node with most of them has.
+func (p *party) Connected(most int) { p.Held(conns, most) }
+
 // Settle says what is divided: dealers' shares as the settings state them for all brokers, and what cold nodes may get.
 func (p *party) Settle(d *protocol.Deployment) {
 	n := p.o.Fleet.Brokers
 	floor := func(w budget.Amount) budget.Amount { return w / 100 * int64(p.o.Fleet.Floor) / int64(n) }
 	own := map[string]budget.Terms{cold: {Kind: budget.Stock, Whole: whole, Floor: floor(whole), Brokers: n, Linger: d.Terms.Fall}}
+	if w := budget.Amount(p.o.Fleet.NodeConns) * budget.Unit; w > 0 { // one each for good, one for a dial that is in hand
+		own[conns] = budget.Terms{Kind: budget.Stock, Whole: w, Floor: budget.Unit, Brokers: n, InHand: 1, Linger: d.Connect.Seconds()}
+	}
 	s := &sharing{names: make([]string, len(d.Terms.Quotas)), offered: make([]*atomic.Int64, len(d.Terms.Quotas))}
 	for name, i := range d.Dealers {
 		w := budget.Amount(d.Terms.Quotas[i] * float64(budget.Unit))
--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -103,6 +103,9 @@
 		c.calls--
 		c.usedAt = time.Now()
 		c.rearm()
+		if c.unused() && c.peer.over(0) {
+			c.close("share") // guards against a share that was cut and is still held
+		}
 	}
 }
 
@@ -115,6 +118,7 @@
 	c.peer.fleet.leaving++
 	if i := slices.Index(c.peer.conns, c); i >= 0 {
 		c.peer.conns = slices.Delete(c.peer.conns, i, i+1)
+		c.peer.ends++
 	}
 	if c.sock != nil {
 		c.sock.Close()
@@ -192,6 +196,8 @@
 	}
 	f.count.Closed++
 	f.count.Codes[code]++
+	c.peer.ends--
+	f.measure()
 	life := time.Since(c.made)
 	f.mu.Unlock()
 	entry := f.log.WithField("side", "node").WithField("peer", c.peer.addr).WithField("code", code).
--- a/internal/transport/nodes/fleet.go
+++ b/internal/transport/nodes/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"brackenfront/balance"
+	"brackenfront/internal/protocol"
 	"brackenfront/internal/transport/parts"
 )
 
@@ -36,8 +37,12 @@
 	ended sync.WaitGroup
 	room  func(most int) int
 
+	bound  func() int     // connections that one node may have from here, 0 for any number; nil for never a bound
+	widest func(most int) // hears how many the node with most has
+
 	mu      sync.Mutex
 	peers   map[string]*peer
+	most    int // what widest heard last
 	leaving int // connections that were ever told to close
 	count   Counts
 }
@@ -47,6 +52,7 @@
 	Dialled, Closed               int
 	Parts, Given, Replies, Strays int
 	Probes                        int
+	Crowded                       int // calls turned away, as their node may have no connection more
 	BytesOut, BytesIn             int64
 	Codes                         map[string]int
 }
@@ -56,6 +62,7 @@
 	fleet *Fleet
 	addr  string
 	conns []*conn
+	ends  int // connections that are told to close and still hold a socket
 }
 
 // NewFleet makes a fleet without connections.
@@ -81,6 +88,49 @@
 // many it closed. It has to come before the first call; it may be called from any goroutine.
 func (f *Fleet) Share(room func(most int) int) { f.room = room }
 
+// Bound names what says how many connections one node may have from here, 0 for any number, and what hears how many the node
+// with most of them has. Both are called from any goroutine and must not wait, nor call back. It has to come before the
+// first call. Where there is no room for one more, a call is turned away unseen.
+func (f *Fleet) Bound(bound func() int, widest func(most int)) { f.bound, f.widest = bound, widest }
+
+// Trim closes unused connections beyond the bound, of every node, for whoever has lowered it; those in use end with their
+// last call.
+func (f *Fleet) Trim() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		for _, c := range slices.Clone(p.conns) {
+			if c.unused() && p.over(0) {
+				c.close("share")
+			}
+		}
+	}
+}
+
+// over is whether the node would have more connections than it may with so many more.
+func (p *peer) over(more int) bool {
+	if p.fleet.bound == nil {
+		return false
+	}
+	bound := p.fleet.bound()
+	return bound > 0 && len(p.conns)+p.ends+more > bound
+}
+
+// measure tells how many connections the node with most of them has, if that has changed.
+func (f *Fleet) measure() {
+	if f.widest == nil {
+		return
+	}
+	most := 0
+	for _, p := range f.peers {
+		most = max(most, len(p.conns)+p.ends)
+	}
+	if most != f.most {
+		f.most = most
+		f.widest(most)
+	}
+}
+
 // Ask puts one call on a connection that has room, or on a new one.
 func (f *Fleet) Ask(addr string, ps []*parts.Part) {
 	f.mu.Lock()
@@ -96,6 +146,15 @@
 		return
 	}
 	c := f.place(addr)
+	if c == nil {
+		f.count.Crowded++
+		f.ended.Go(func() { // the owner may wait, which the caller must not
+			for _, p := range k.parts {
+				p.End(protocol.Ended{ID: p.ID, How: balance.Full})
+			}
+		})
+		return
+	}
 	for i := range k.parts {
 		p := &k.parts[i]
 		p.conn, p.Back = c, p
@@ -190,7 +249,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.count.Probes++
-	f.place(addr).probe(back)
+	if c := f.place(addr); c != nil {
+		c.probe(back)
+		return
+	}
+	f.ended.Go(func() { back(false) })
 }
 
 // Renew closes the connections to a node on which nothing is out, or, where quiet is above 0, those on
@@ -259,7 +322,8 @@
 	f.ended.Wait()
 }
 
-// place finds the connection with room that is used most, so that few stay open, or opens one.
+// place finds the connection with room that is used most, so that few stay open, or opens one; nil where the node may have
+// no more.
 func (f *Fleet) place(addr string) *conn {
 	p := f.peers[addr]
 	if p == nil {
@@ -273,7 +337,11 @@
 		}
 	}
 	if best == nil {
+		if p.over(1) {
+			return nil
+		}
 		best = p.open()
+		f.measure()
 	}
 	return best
 }
--- a/internal/transport/nodes/nodes_test.go
+++ b/internal/transport/nodes/nodes_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -470,3 +471,42 @@
 		}
 	}
 }
+
+// TestBound: a node gets no more connections than it may; beyond, calls are turned away unseen. When the bound falls, unused
+// connections close at once, those in use with their last call, and whoever counts hears of it.
+func TestBound(t *testing.T) {
+	var bound, most atomic.Int64
+	bound.Store(2)
+	one := usual
+	one.Streams, one.Cancel = 1, false
+	n, f, o := newFar(t), fleet(t, one), make(owner, 9)
+	f.Bound(func() int { return int(bound.Load()) }, func(n int) { most.Store(int64(n)) })
+	f.Ask(n.addr(), []*parts.Part{ask(o, "a.1")})
+	f.Ask(n.addr(), []*parts.Part{ask(o, "b.1")})
+	a, b := <-n.conns, <-n.conns
+	f.Ask(n.addr(), []*parts.Part{ask(o, "c.1")})
+	if e := <-o; e.ID != "c.1" || e.How != balance.Full {
+		t.Fatalf("%+v", e)
+	}
+	probed := make(chan bool, 1)
+	f.Probe(n.addr(), func(ok bool) { probed <- ok })
+	if <-probed || f.Counts().Crowded != 1 || most.Load() != 2 {
+		t.Error("a third connection", f.Counts().Crowded, most.Load())
+	}
+	bound.Store(1)
+	f.Trim()
+	if most.Load() != 2 {
+		t.Error("closed with a call out")
+	}
+	for _, c := range []net.Conn{a, b} {
+		<-n.frames
+		say(c, protocol.Reply, "a.1 hit 1 -\n")
+		say(c, protocol.Reply, "b.1 hit 1 -\n")
+	}
+	<-o
+	for end := time.Now().Add(20 * time.Second); most.Load() != 1 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	if most.Load() != 1 {
+		t.Error("held beyond the bound:", most.Load())
+	}
+}
--- a/lease/purses.go
+++ b/lease/purses.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// Held says how many units of a stock are held.
+func (p *Purses) Held(name string, n int64) {
+	if o := p.all[name]; o != nil {
+		o.Held(n)
+	}
+}
+
 // Over is how many units of a stock have to be given back.
 func (p *Purses) Over(now float64, name string) int64 {
 	if o := p.all[name]; o != nil {
