--- a/measure/budgets.sh
+++ b/measure/budgets.sh
@@ -5,10 +5,10 @@
 #   measure/budgets.sh [--quick] [--seed N] [--runs K]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-seed=1000 runs=200 worlds=2000 checks=20000 small=
+seed=1000 runs=200 worlds=2000 checks=20000 deep=6 small=
 while [ $# -gt 0 ]; do
 	case "$1" in
-	--quick) runs=6 worlds=60 checks=2000 small=-small ;;
+	--quick) runs=6 worlds=60 checks=2000 deep=4 small=-small ;;
 	--seed) seed=$2; shift ;;
 	--runs) runs=$2; shift ;;
 	*) echo "usage: measure/budgets.sh [--quick] [--seed N] [--runs K]" >&2; exit 2 ;;
@@ -27,8 +27,11 @@
 echo "== the laws of division, purses and the agreed state, $checks random cases each, seed $seed"
 laws() { "$bin/laws" -rapid.checks "$checks" -rapid.seed "$seed" | tail -1; }
 pots() { "$bin/pots" -test.run 'TestPots' -rapid.checks "$checks" -rapid.seed "$seed" | tail -1; }
+small() { "$bin/pots" -test.run 'TestSmallDivided' -test.v -deep "$deep" | grep 'small_pots_test.go'; }
 part laws
 part pots
+echo "== two processes and one budget, explored whole (must: never more than there is)"
+part small
 echo "== $worlds random worlds from seed $seed on, in virtual time: sums exact after every step, what was spent in every window (must: none bad)"
 pids=()
 for ((i = 0; i < lanes; i++)); do
--- a/measure/budgets/model.go
+++ b/measure/budgets/model.go
@@ -1,34 +1,18 @@
 package main
 
 import (
-	"container/heap"
 	"fmt"
 	"slices"
 
 	"brackenfront/budget"
 	"brackenfront/chance"
+	"brackenfront/internal/virtual"
 	"brackenfront/lease"
 )
 
 // A model in virtual time: the shipped agreed state, sessions and purses, letters that take some milliseconds, brokers whose
 // clients ask at stated rates. One lease time is a second.
 
-type event struct {
-	at  float64
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any     { o := *q; e := o[len(o)-1]; *q = o[:len(o)-1]; return e }
-
 const (
 	ttl    = 1.0
 	letter = 0.003
@@ -45,9 +29,7 @@
 )
 
 type model struct {
-	now    float64
-	q      events
-	seq    int
+	virtual.Clock
 	rnd    chance.Source
 	terms  budget.Terms
 	how    string
@@ -77,11 +59,6 @@
 	wakeAt float64
 }
 
-func (m *model) after(d float64, do func()) {
-	m.seq++
-	heap.Push(&m.q, event{m.now + d, m.seq, do})
-}
-
 func newModel(n int, how string, seed uint64) *model {
 	whole := 1000 * budget.Unit
 	m := &model{how: how, terms: budget.Terms{Kind: budget.Rate, Whole: whole, Burst: int64(n+100) * budget.Unit, Floor: whole / 10 / int64(n), Brokers: n},
@@ -90,15 +67,15 @@
 	t := lease.Usual()
 	t.TTL = ttl
 	m.state = lease.New(t, 1)
-	m.now = 2 * ttl
-	m.state.Apply(lease.Command{At: m.now})
-	m.one = budget.NewPurse(m.terms, 0, m.now)
-	m.level, m.at = float64(m.terms.Burst)/float64(budget.Unit), m.now
+	m.Now = 2 * ttl
+	m.state.Apply(lease.Command{At: m.Now})
+	m.one = budget.NewPurse(m.terms, 0, m.Now)
+	m.level, m.at = float64(m.terms.Burst)/float64(budget.Unit), m.Now
 	for i := range n {
 		b := &broker{m: m, i: i}
 		m.all = append(m.all, b)
 		b.start()
-		m.after(step*m.rnd.Next(), b.ask)
+		m.After(step*m.rnd.Next(), b.ask)
 	}
 	return m
 }
@@ -112,8 +89,8 @@
 	})
 	b.s.Stay()
 	b.p = lease.NewPurses(b.s, 0.01)
-	b.p.Open(b.m.now, "q", b.m.terms)
-	b.even = budget.NewPurse(b.m.terms, 0, b.m.now)
+	b.p.Open(b.m.Now, "q", b.m.terms)
+	b.even = budget.NewPurse(b.m.terms, 0, b.m.Now)
 	b.turn(b.life)
 }
 
@@ -124,31 +101,31 @@
 	m := b.m
 	if b.i == 0 {
 		b.s.Acquire(lease.BudgetsLease, 1, 3600)
-		if _, _, ok := b.s.Holds(m.now, lease.BudgetsLease); ok && len(m.state.Pots()) == 0 {
+		if _, _, ok := b.s.Holds(m.Now, lease.BudgetsLease); ok && len(m.state.Pots()) == 0 {
 			b.s.Define("q", &m.terms)
 		}
 	}
-	b.p.Turn(m.now)
-	if c, ok := b.s.Send(m.now, false); ok {
+	b.p.Turn(m.Now)
+	if c, ok := b.s.Send(m.Now, false); ok {
 		m.calls++
 		m.bytes += len(lease.Encode(c))
-		m.after(letter, func() {
-			a := m.state.Apply(lease.Command{At: m.now, Calls: []lease.Call{c}})[0]
+		m.After(letter, func() {
+			a := m.state.Apply(lease.Command{At: m.Now, Calls: []lease.Call{c}})[0]
 			m.bytes += len(lease.Encode(a))
 			m.stir()
-			m.after(letter, func() {
+			m.After(letter, func() {
 				if life == b.life && !b.down {
-					b.s.Answer(m.now, a)
+					b.s.Answer(m.Now, a)
 					b.s.Events()
 					b.turn(life)
 				}
 			})
 		})
 	}
-	at := max(b.s.Due(), m.now+1e-4)
+	at := max(b.s.Due(), m.Now+1e-4)
 	if at < 1e9 {
 		b.wakeAt = at
-		m.after(at-m.now, func() {
+		m.After(at-m.Now, func() {
 			if b.wakeAt == at {
 				b.turn(life)
 			}
@@ -162,7 +139,7 @@
 		for _, b := range m.all {
 			if b.s.ID() == id {
 				life := b.life
-				m.after(letter, func() {
+				m.After(letter, func() {
 					if life == b.life {
 						b.s.Stir()
 						b.turn(life)
@@ -176,49 +153,46 @@
 // ask has a broker's clients ask, and says what they met.
 func (b *broker) ask() {
 	m := b.m
-	m.after(step, b.ask)
+	m.After(step, b.ask)
 	if b.down {
 		return
 	}
 	up, lost := 0, 0.0
 	for i, o := range m.all {
 		if o.down {
-			lost += m.demand(i, m.now)
+			lost += m.demand(i, m.Now)
 		} else {
 			up++
 		}
 	}
-	b.owed += (m.demand(b.i, m.now) + lost/float64(up)) * step * (0.5 + m.rnd.Next())
+	b.owed += (m.demand(b.i, m.Now) + lost/float64(up)) * step * (0.5 + m.rnd.Next())
 	for ; b.owed >= 1; b.owed-- {
-		slot := min(int(m.now*10), len(m.asked)-1)
+		slot := min(int(m.Now*10), len(m.asked)-1)
 		m.asked[slot]++
 		ok := false
 		switch m.how {
 		case even:
-			b.even.Set(m.now, m.terms.Whole/int64(len(m.all))-m.terms.Floor, 1e9)
-			ok = b.even.Spend(m.now)
+			b.even.Set(m.Now, m.terms.Whole/int64(len(m.all))-m.terms.Floor, 1e9)
+			ok = b.even.Spend(m.Now)
 		case knowing:
-			m.one.Set(m.now, m.terms.Free(0), 1e9)
-			m.one.Restate(m.now, budget.Terms{Kind: budget.Rate, Whole: m.terms.Whole, Burst: m.terms.Burst, Brokers: 1})
-			m.one.Set(m.now, m.terms.Whole, 1e9)
-			ok = m.one.Spend(m.now)
+			m.one.Set(m.Now, m.terms.Free(0), 1e9)
+			m.one.Restate(m.Now, budget.Terms{Kind: budget.Rate, Whole: m.terms.Whole, Burst: m.terms.Burst, Brokers: 1})
+			m.one.Set(m.Now, m.terms.Whole, 1e9)
+			ok = m.one.Spend(m.Now)
 		default:
-			ok = b.p.Spend(m.now, "q")
+			ok = b.p.Spend(m.Now, "q")
 		}
 		if ok {
 			m.spent[slot]++
-			m.level = min(m.level+float64(m.terms.Whole)/float64(budget.Unit)*(m.now-m.at), float64(m.terms.Burst)/float64(budget.Unit)) - 1
-			m.at = m.now
+			m.level = min(m.level+float64(m.terms.Whole)/float64(budget.Unit)*(m.Now-m.at), float64(m.terms.Burst)/float64(budget.Unit)) - 1
+			m.at = m.Now
 			m.bad = max(m.bad, -m.level)
 		}
 	}
 }
 
 func (m *model) run() {
-	for m.now < ends && len(m.q) > 0 {
-		e := heap.Pop(&m.q).(event)
-		m.now = e.at
-		e.do()
+	for m.Step(ends) {
 	}
 }
 
@@ -252,7 +226,7 @@
 		}
 	}, nil},
 	{"half die at once", true, level(900), func(m *model) {
-		m.after(event0-m.now, func() {
+		m.After(event0-m.Now, func() {
 			for _, b := range m.all[len(m.all)/2:] {
 				b.down = true
 			}
@@ -262,17 +236,17 @@
 		n := len(m.all)
 		group := max(n/10, 1)
 		for k := 0; k < n; k += group {
-			m.after(event0-m.now+0.6*float64(k/group), func() {
+			m.After(event0-m.Now+0.6*float64(k/group), func() {
 				for _, b := range m.all[k:min(k+group, n)] {
-					b.p.Close(m.now)
+					b.p.Close(m.Now)
 					b.s.End()
-					if c, ok := b.s.Send(m.now, true); ok {
-						m.state.Apply(lease.Command{At: m.now, Calls: []lease.Call{c}})
+					if c, ok := b.s.Send(m.Now, true); ok {
+						m.state.Apply(lease.Command{At: m.Now, Calls: []lease.Call{c}})
 					}
 					b.down = true
 				}
 			})
-			m.after(event0-m.now+0.6*float64(k/group)+0.3, func() {
+			m.After(event0-m.Now+0.6*float64(k/group)+0.3, func() {
 				for _, b := range m.all[k:min(k+group, n)] {
 					b.start()
 				}
--- a/measure/leases/trials.go
+++ b/measure/leases/trials.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"slices"
@@ -10,32 +9,15 @@
 	"brackenfront/balance"
 	"brackenfront/chance"
 	"brackenfront/internal/fleetrig"
+	"brackenfront/internal/virtual"
 	"brackenfront/trials"
 )
 
 // A model in virtual time: brokers with the shipped decision module and the shipped book of trials, nodes one of which is
 // out for a while, and news that take some milliseconds. What the fleet's goroutines do is played by events.
 
-type event struct {
-	at  float64
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any     { o := *q; e := o[len(o)-1]; *q = o[:len(o)-1]; return e }
-
 type model struct {
-	now     float64
-	q       events
-	seq     int
+	virtual.Clock
 	rnd     chance.Source
 	all     []*modelled
 	shared  bool
@@ -63,11 +45,6 @@
 	nodesAll = 40
 )
 
-func (m *model) after(d float64, do func()) {
-	m.seq++
-	heap.Push(&m.q, event{m.now + d, m.seq, do})
-}
-
 func newModel(brokers int, shared bool, seed uint64) *model {
 	m := &model{shared: shared, from: 20, out: func(int) bool { return false }}
 	m.rnd.Seed(seed)
@@ -91,13 +68,13 @@
 		}
 		p.turn(func() { b.List(true, list) })
 		m.all = append(m.all, p)
-		m.after(m.rnd.Next(), p.search)
+		m.After(m.rnd.Next(), p.search)
 	}
 	return m
 }
 
 func (p *modelled) turn(f func()) {
-	p.b.Begin(p.m.now)
+	p.b.Begin(p.m.Now)
 	f()
 	p.b.Close()
 }
@@ -112,14 +89,14 @@
 			q.Part((from+k)%20, 0.25)
 		}
 	})
-	p.m.after(0.04+0.12*p.m.rnd.Next(), p.search)
+	p.m.After(0.04+0.12*p.m.rnd.Next(), p.search)
 }
 
 func (p *modelled) Send(q *balance.Search, part, node int, _ float64) {
 	took, how := 0.01+0.04*p.m.rnd.Next(), balance.OK
 	if node == 0 && p.m.out(p.at) {
 		took, how = 0.001, balance.Unreached
-		if p.m.now >= p.m.from {
+		if p.m.Now >= p.m.from {
 			p.m.parts++
 		}
 	}
@@ -128,7 +105,7 @@
 	}
 	p.quits[q][part]++
 	n := p.quits[q][part]
-	p.m.after(took, func() { p.land(q, part, n, how, took) })
+	p.m.After(took, func() { p.land(q, part, n, how, took) })
 }
 
 func (p *modelled) land(q *balance.Search, part, n int, how balance.Outcome, took float64) {
@@ -141,7 +118,7 @@
 
 func (p *modelled) Cancel(q *balance.Search, part, _ int) {
 	n := p.quits[q][part]
-	p.m.after(0, func() { p.land(q, part, n, balance.Cancelled, 0.001) })
+	p.m.After(0, func() { p.land(q, part, n, balance.Cancelled, 0.001) })
 }
 
 func (p *modelled) Answer(*balance.Search, bool)  { p.m.answers++ }
@@ -152,7 +129,7 @@
 
 func (p *modelled) Wake(at float64) {
 	p.wake = at
-	p.m.after(max(at-p.m.now, 0), func() {
+	p.m.After(max(at-p.m.Now, 0), func() {
 		if p.wake == at {
 			p.turn(func() {})
 		}
@@ -161,7 +138,7 @@
 
 func (p *modelled) Probe(node int) {
 	if node != 0 {
-		p.m.after(0.002, func() { p.turn(func() { p.b.Probed(node, true) }) })
+		p.m.After(0.002, func() { p.turn(func() { p.b.Probed(node, true) }) })
 		return
 	}
 	if !p.m.shared {
@@ -169,21 +146,21 @@
 		return
 	}
 	p.asked = true
-	p.m.after(0, func() { p.met(p.book.Ask(p.m.now, "n0")) })
+	p.m.After(0, func() { p.met(p.book.Ask(p.m.Now, "n0")) })
 }
 
 // probe tries the first node.
 func (p *modelled) probe(told func(ok bool)) {
 	ok := !p.m.out(p.at)
-	if !ok && p.m.now >= p.m.from {
+	if !ok && p.m.Now >= p.m.from {
 		p.m.tries++
 	}
-	p.m.after(0.002, func() { told(ok) })
+	p.m.After(0.002, func() { told(ok) })
 }
 
 func (p *modelled) told(ok bool) {
 	if ok && p.knows == 0 {
-		p.knows = p.m.now
+		p.knows = p.m.Now
 	}
 	p.turn(func() { p.b.Probed(0, ok) })
 }
@@ -199,7 +176,7 @@
 	switch v {
 	case trials.Own:
 		p.probe(func(ok bool) {
-			p.book.Found(p.m.now, "n0", ok)
+			p.book.Found(p.m.Now, "n0", ok)
 			p.found(ok)
 			p.pass()
 		})
@@ -214,15 +191,15 @@
 	for _, f := range slices.Clone(p.book.Say()) {
 		for _, o := range p.m.all {
 			if o != p && (f.Kind != trials.Wanted || o.at == 0) {
-				p.m.after(newsTake, func() { o.met(o.book.Hear(o.m.now, f)) })
+				p.m.After(newsTake, func() { o.met(o.book.Hear(o.m.Now, f)) })
 			}
 		}
 	}
-	if _, ok, again := p.book.Due(p.m.now); ok {
+	if _, ok, again := p.book.Due(p.m.Now); ok {
 		p.met(trials.Own)
 	} else if again < 1e9 {
-		p.m.after(again-p.m.now+1e-6, func() {
-			if _, ok, _ := p.book.Due(p.m.now); ok {
+		p.m.After(again-p.m.Now+1e-6, func() {
+			if _, ok, _ := p.book.Due(p.m.Now); ok {
 				p.met(trials.Own)
 			}
 		})
@@ -231,14 +208,11 @@
 
 // run plays the first node out from 10 s to 60 s; back is when it is back for whom.
 func (m *model) run(back func(broker int) float64) (tries float64, knows []float64, share float64) {
-	m.out = func(broker int) bool { return m.now >= 10 && m.now < back(broker) }
+	m.out = func(broker int) bool { return m.Now >= 10 && m.Now < back(broker) }
 	first := back(len(m.all) - 1)
 	const end = 110.0
-	for m.now < end && len(m.q) > 0 {
-		e := heap.Pop(&m.q).(event)
-		m.now = e.at
-		e.do()
-		if m.now < first {
+	for m.Step(end) {
+		if m.Now < first {
 			for _, p := range m.all {
 				p.knows = 0
 			}
