--- a/lease/small_pots_test.go
+++ b/lease/small_pots_test.go
@@ -123,7 +123,7 @@
 		path []string
 	}
 	level, worlds, used, most := []node{{w, nil}, {one, nil}, {both, nil}}, 0, 0, budget.Amount(0)
-	for range min(*deep, 5) - 1 { // wider than the other: a step less
+	for range min(*deep, 7) - 1 { // wider than the other: a step less
 		var next []node
 		for _, o := range level {
 			all, names := o.w.steps(t)
