--- a/lease/small_pots_test.go
+++ b/lease/small_pots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -38,7 +39,8 @@
 	try("a third of a lease passes", func(c *divided) bool { c.at += 0.35 * c.state.terms.TTL; return true })
 	for i := range w.clients {
 		try(fmt.Sprintf("c%d has had much to do, and calls", i), func(c *divided) bool {
-			c.clients[i].Use("q", 1000*budget.Unit, 1000*budget.Unit, 1000*budget.Unit, true)
+			c.purses[i].Offer("q", 1000)
+			c.purses[i].saidAt = math.Inf(-1)
 			c.purses[i].Turn(c.clock(i))
 			call, ok := c.clients[i].Send(c.clock(i), true)
 			if ok {
@@ -116,7 +118,8 @@
 	hand(both, 0)
 	hand(both, 1)
 	both.at += 0.85 * terms.TTL
-	both.clients[1].Use("q", 5*budget.Unit, 5*budget.Unit, 5*budget.Unit, true)
+	both.purses[1].Offer("q", 1000)
+	both.purses[1].saidAt = math.Inf(-1)
 	hand(both, 1)
 	type node struct {
 		w    *divided
