--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -335,6 +335,18 @@
 	if s.Answer(9.95, a); s.ID() == was {
 		t.Error("keeps an id that is another's")
 	}
+
+	s, c = NewSession("b", "", func() ID { n++; return id(n) }), founded(nil) // and one that had asked for nothing yet
+	s.Stay()
+	first, _ = s.Send(0, false)
+	s.Answer(0.1, c.takes(20, first))
+	c.Apply(Command{At: 31})
+	c.takes(32, first)
+	s.Acquire("x", 1, 0)
+	call, _ = s.Send(9.9, false)
+	if a := c.takes(32, call); a.Status != Unknown {
+		t.Error("the second call of one birth is taken for another's:", a)
+	}
 }
 
 // pair is a Session and the council it speaks to, at will.
