--- a/lease/pots_test.go
+++ b/lease/pots_test.go
@@ -150,3 +150,53 @@
 		}
 	})
 }
+
+// TestCutWhileHeld: a cut of a stock counts as carried out only once as much has been given back, and the time that it may
+// linger has passed.
+func TestCutWhileHeld(t *testing.T) {
+	s, c := pair(t)
+	stock := &budget.Terms{Kind: budget.Stock, Whole: 10 * budget.Unit, Brokers: 2, Linger: 1}
+	c.call(20, 1, acquire(BudgetsLease, 0), define("s", stock))
+	p := NewPurses(s, c.terms.Drift)
+	p.Open(0, "s", *stock)
+	at := 0.0
+	hand := func() {
+		at += 0.1
+		p.Turn(at)
+		s.Stir()
+		if call, ok := s.Send(at, false); ok {
+			s.Answer(at, c.takes(20+at, call))
+			p.Turn(at)
+		}
+	}
+	hand()
+	for range 10 {
+		if !p.Hold(at, "s") {
+			t.Fatal("alone, and not all of it")
+		}
+	}
+	c.uses(20+at, 1, Use{Name: "s", Used: 5 * budget.Unit}) // another comes: a cut
+	most := func() budget.Amount {
+		for _, g := range c.pots["s"].Shares {
+			if g.Session == s.ID() {
+				return g.Most
+			}
+		}
+		return -1
+	}
+	for range 15 {
+		hand()
+	}
+	if most() != 10*budget.Unit || p.Over(at, "s") != 5 {
+		t.Fatalf("%d may be used, %d over", most(), p.Over(at, "s"))
+	}
+	for range 5 {
+		p.Release("s")
+	}
+	for range 3 {
+		hand()
+	}
+	if most() != 5*budget.Unit {
+		t.Errorf("given back, and %d may still be used", most())
+	}
+}
