--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -288,3 +288,21 @@
 		t.Error("peak", used)
 	}
 }
+
+// TestFastClock: a clock at the bound of its drift saves up and spends no more than a true one.
+func TestFastClock(t *testing.T) {
+	tm := rate(10*Unit, 30*Unit, 2)
+	const drift, ends = 0.1, 1000.0
+	p := NewPurse(tm, drift, 0)
+	n := 0
+	for now := 0.0; now < ends; now += 0.01 {
+		clock := now * (1 + drift)
+		p.Set(clock, tm.Free(2), clock+1)
+		for p.Spend(clock) {
+			n++
+		}
+	}
+	if most := ends*float64(tm.Free(2)+tm.Floor)/float64(Unit) + tm.depth(tm.Free(2)); float64(n) > most {
+		t.Errorf("%d spent, %v may be", n, most)
+	}
+}
--- a/internal/program/withfleet/sharing_test.go
+++ b/internal/program/withfleet/sharing_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,11 +44,16 @@
 	o.Fleet.Budgets, o.Fleet.Brokers, o.Fleet.Floor = true, 4, 20
 	d := &protocol.Deployment{Dealers: map[string]int{"acme": 0, "other": 1}, Terms: balance.Terms{Quotas: []float64{100, 40}, Fall: 0.1}}
 	var all []*party
+	var ahead atomic.Int64 // of the first one's clock, seconds
 	for i, one := range s.Council {
 		s := s
 		s.Broker, s.Listen, s.Dir = one.Broker, one.Addr, filepath.Join(dir, one.Broker)
 		os.Mkdir(s.Dir, 0o700)
-		n, err := fleet.Start(s, fleet.Real(), log)
+		w := fleet.Real()
+		if real := w.Now; i == 0 {
+			w.Now = func() float64 { return real() + float64(ahead.Load()) }
+		}
+		n, err := fleet.Start(s, w, log)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -86,17 +92,14 @@
 		}
 		return least > 0.25
 	})
+	ahead.Store(100) // as if it had stood still: what it was given has ended, though nobody has looked yet
+	if p := all[0].Parts(); p.Quotas[0] != 5 || p.Part != 0.05 {
+		t.Errorf("goes by parts that have ended: %+v", p)
+	}
 	end, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	all[1].Close(end)
 	all[2].Close(end)
 	until("the floors are left", func() bool { p := all[0].Parts(); return p.Quotas[0] == 5 && p.Part == 0.05 })
 	all[0].Close(end)
-
-	// Held by nobody, parts that were given end by the clock alone.
-	p := &party{Node: all[0].Node, o: o}
-	p.now.Store(&sharing{names: []string{"quota/acme"}})
-	if q := p.Parts(); q.Quotas[0] != 5 {
-		t.Errorf("%+v", q)
-	}
 }
--- a/lease/pots_test.go
+++ b/lease/pots_test.go
@@ -201,3 +201,32 @@
 		t.Errorf("given back, and %d may still be used", m)
 	}
 }
+
+// TestLinger: what a session that lapsed may still hold of a stock is free only so much later; one that ends by itself, too.
+func TestLinger(t *testing.T) {
+	for _, says := range []bool{false, true} {
+		c := founded(nil)
+		stock := &budget.Terms{Kind: budget.Stock, Whole: 10 * budget.Unit, Brokers: 2, Linger: 3}
+		c.call(20, 1, acquire(BudgetsLease, 0), define("s", stock))
+		c.uses(20, 2, Use{Name: "s"}) // has all of it
+		at := 20 + c.terms.Kept()
+		c.uses(at-1, 1, Use{Name: "s"})
+		if says {
+			c.numbers[id(2)]++
+			c.takes(at, Call{Session: id(2), Number: c.numbers[id(2)], End: true})
+		}
+		share := func(at float64) budget.Amount {
+			c.uses(at, 1, Use{Name: "s", Had: budget.Unit, Used: budget.Unit, Refused: budget.Unit})
+			return c.Pots()[0].Parts[0].Told
+		}
+		if got := share(at + 0.1); got != 0 {
+			t.Errorf("ends by itself %v: %d given at once", says, got)
+		}
+		if got := share(at + 2.9); got != 0 {
+			t.Errorf("ends by itself %v: %d given while it may linger", says, got)
+		}
+		if got := share(at + 3*(1+c.terms.Drift) + 0.2); got != 10*budget.Unit {
+			t.Errorf("ends by itself %v: %d given after", says, got)
+		}
+	}
+}
