--- a/internal/fleet/council/small_test.go
+++ b/internal/fleet/council/small_test.go
@@ -340,3 +340,33 @@
 	}
 	t.Logf("%d worlds to depth %d, in %d of them somebody holds", worlds, *deep, held)
 }
+
+// TestLogFirst: a new disk gets its seat only once it has the log.
+func TestLogFirst(t *testing.T) {
+	cryptotest.SetGlobalRandom(t, 1)
+	w := newSmall(t)
+	m := w.members[0]
+	for range 3 * silent { // it has led for a while, the others answer
+		for i := range 3 {
+			w.members[i].Tick()
+			w.turn(i)
+		}
+		w.settle()
+	}
+	if err := m.Admit(Seat{Disk: 9, Broker: "b9", Addr: "-"}, 3); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		w.turn(0)
+		for _, to := range []int{1, 2} {
+			w.deliver(0, to)
+			w.deliver(to, 0)
+		}
+	}
+	if seats := m.Seats(); len(seats) != 4 || !seats[3].Learner {
+		t.Fatal("not admitted as a learner:", seats)
+	}
+	if err := m.Promote(9, 3); err == nil {
+		t.Error("a disk that has nothing of the log gets its vote")
+	}
+}
