--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -306,3 +306,29 @@
 		t.Errorf("%d spent, %v may be", n, most)
 	}
 }
+
+// TestLiar: one that says that it was refused though it did not use what it had gets no more for it; others have what it
+// would have kept from them.
+func TestLiar(t *testing.T) {
+	tm := Terms{Kind: Rate, Whole: 1000 * Unit, Burst: 10 * Unit, Brokers: 2}
+	got := tm.Divide(tm.Free(2), []Claim{{Has: 500 * Unit, Had: 500 * Unit, Used: 100 * Unit, Refused: 1e9}, {Has: 500 * Unit, Had: 500 * Unit, Used: 500 * Unit, Refused: 360 * Unit}})
+	if got[1] < 860*Unit {
+		t.Errorf("a liar keeps %d, who has use for it gets %d", got[0], got[1])
+	}
+}
+
+// TestCutBurst: what was saved up goes with the share that is cut.
+func TestCutBurst(t *testing.T) {
+	tm := rate(10*Unit, 40*Unit, 2)
+	p := NewPurse(tm, 0, 0)
+	p.Set(0, tm.Free(2), 1000)
+	p.Spend(100)
+	p.Set(100, 0, 1000)
+	n := 0
+	for p.Spend(100) {
+		n++
+	}
+	if n > 1 {
+		t.Errorf("%d units of a burst kept through a cut", n)
+	}
+}
