--- a/cmd/brackenflight/fleet_test.go
+++ b/cmd/brackenflight/fleet_test.go
@@ -111,6 +111,12 @@
 	if out, err := ask("fleet", "leases"); err != nil || !strings.HasPrefix(out, "lease") {
 		t.Errorf("leases: %v\n%s", err, out)
 	}
+	if out, err := ask("fleet", "roll"); err != nil || !strings.Contains(out, "no roll yet") {
+		t.Errorf("roll: %v\n%s", err, out)
+	}
+	if out, err := ask("fleet", "budgets"); err != nil || !strings.HasPrefix(out, "budget") {
+		t.Errorf("budgets: %v\n%s", err, out)
+	}
 	if out, err := ask("fleet", "council", "replace", "b1", "b9"); err == nil || !strings.Contains(out, "b9 is not there") {
 		t.Errorf("replace: %v\n%s", err, out)
 	}
@@ -161,6 +167,16 @@
 		{[]string{"fleet.ttl_ms=1000", "fleet.tick_ms=100"}, "fleet.tick_ms: got 100"},
 		{[]string{"fleet.founding=0"}, "fleet.founding"},
 		{[]string{"fleet.broker=a b"}, "fleet.broker"},
+		{[]string{"fleet.roll=true"}, "fleet.listen: got none, expected an address as fleet.roll"},
+		{[]string{"fleet.roll=true", "fleet.restarts=true", "fleet.listen=127.0.0.1:0"}, ""},
+		{[]string{"fleet.restarts=true"}, "fleet.roll: got false"},
+		{[]string{"fleet.trials=true"}, ""},
+		{[]string{"fleet.trials=true", "halls.guard=true"}, "fleet.trials: got true"},
+		{[]string{"fleet.budgets=true"}, "fleet.brokers: got 0"},
+		{[]string{"fleet.budgets=true", "fleet.brokers=5"}, ""},
+		{[]string{"fleet.budgets=true", "fleet.brokers=5", "fleet.node_conns=9"}, "fleet.node_conns: got 9"},
+		{[]string{"fleet.node_conns=9"}, "fleet.node_conns: got 9"},
+		{[]string{"fleet.council=", "fleet.broker=", "fleet.trials=true"}, "fleet.council: got none"},
 	} {
 		var args []string
 		for _, s := range append(append([]string(nil), good...), c.set...) {
