Connections on their way out are not counted twice when a share is cut

Seen: TestBound on a loaded machine: both connections closed for a bound of one. Cause: one that was told to close still counted when the other was looked at (nodes/fleet.go, over).

--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -103,7 +103,7 @@
 		c.calls--
 		c.usedAt = time.Now()
 		c.rearm()
-		if c.unused() && c.peer.over(0) {
+		if c.unused() && c.peer.over() {
 			c.close("share") // guards against a share that was cut and is still held
 		}
 	}
--- a/internal/transport/nodes/fleet.go
+++ b/internal/transport/nodes/fleet.go
@@ -100,20 +100,25 @@
 	defer f.mu.Unlock()
 	for _, p := range f.peers {
 		for _, c := range slices.Clone(p.conns) {
-			if c.unused() && p.over(0) {
+			if c.unused() && p.over() {
 				c.close("share")
 			}
 		}
 	}
 }
 
-// over is whether the node would have more connections than it may with so many more.
-func (p *peer) over(more int) bool {
+// bound is how many connections the node may have from here, 0 for any number.
+func (p *peer) bound() int {
 	if p.fleet.bound == nil {
-		return false
+		return 0
 	}
-	bound := p.fleet.bound()
-	return bound > 0 && len(p.conns)+p.ends+more > bound
+	return p.fleet.bound()
+}
+
+// over is whether one of its connections has to go: those that are on their way out have gone, as far as that goes.
+func (p *peer) over() bool {
+	bound := p.bound()
+	return bound > 0 && len(p.conns) > bound
 }
 
 // measure tells how many connections the node with most of them has, if that has changed.
@@ -337,7 +342,7 @@
 		}
 	}
 	if best == nil {
-		if p.over(1) {
+		if bound := p.bound(); bound > 0 && len(p.conns)+p.ends >= bound { // one on its way out still has its place there
 			return nil
 		}
 		best = p.open()
