--- a/budget/budget.go
+++ b/budget/budget.go
@@ -243,7 +243,6 @@
 	terms Terms
 	drift float64
 	share Amount  // beyond the floor, as the council said last
-	last  Amount  // the same, kept when it has ended
 	until float64 // the share's end
 	level float64 // units saved up
 	at    float64 // when that was so
@@ -272,7 +271,7 @@
 // it; a larger one begins with what there is.
 func (p *Purse) Set(now float64, share Amount, until float64) {
 	p.settle(now)
-	p.share, p.last, p.until = max(share, 0), max(share, 0), until
+	p.share, p.until = max(share, 0), until
 	p.level = min(p.level, p.depth())
 }
 
@@ -317,9 +316,6 @@
 	return true
 }
 
-// Last is the share that was set last, whether or not it has ended.
-func (p *Purse) Last() Amount { return p.last }
-
 // Offer counts units of a rate that somebody else decides on, who goes by the share: what is within it counts as used.
 func (p *Purse) Offer(n int64) { p.offered += n }
 
--- a/internal/fleetrig/body.go
+++ b/internal/fleetrig/body.go
@@ -202,6 +202,7 @@
 			own[name] = budget.NewPurse(t, 0, machine())
 		}
 	}
+	kept := map[string]budget.Amount{} // what it was given last
 	var seen atomic.Int64
 	var looks sync.WaitGroup
 	defer looks.Wait()
@@ -230,10 +231,10 @@
 				eager, until = []float64{0, 1, 4, 4}[int(rnd.Next()*4)], now+1+2*rnd.Next()
 			}
 			for more := eager; ok && rnd.Next() < more; more-- {
-				if o.take(n, own, &seen, "rate", now) {
+				if o.take(n, own, kept, &seen, "rate", now) {
 					ok = act(Act{Rate: "rate"})
 				}
-				if ok && o.take(n, own, &seen, "stock", now) {
+				if ok && o.take(n, own, kept, &seen, "stock", now) {
 					lasts := 0.1 * rnd.Next()
 					ends := machine() + lasts
 					held = append(held, func() bool { return machine() >= ends })
@@ -258,7 +259,7 @@
 }
 
 // take decides on one unit.
-func (o Orders) take(n *fleet.Node, own map[string]*budget.Purse, seen *atomic.Int64, name string, now float64) bool {
+func (o Orders) take(n *fleet.Node, own map[string]*budget.Purse, kept map[string]budget.Amount, seen *atomic.Int64, name string, now float64) bool {
 	t := o.Budgets[name]
 	if o.Part == "" {
 		if t.Kind == budget.Rate {
@@ -275,10 +276,10 @@
 		if t.Kind == budget.Rate {
 			n.Offered(name).Add(1)
 		}
-		part = n.Parts().Shares[name]
-		if n.Lapsed(n.Parts()) {
-			part = max(part, p.Last())
+		if !n.Lapsed(n.Parts()) {
+			kept[name] = n.Parts().Shares[name]
 		}
+		part = kept[name]
 	}
 	p.Set(now, max(part, 0), now+3600)
 	if t.Kind == budget.Rate {
