Read once more: orders of a roll made once a round, dead purses' and rig's fields, one way to sort names

Found by reading the whole change: rollOn made all orders anew for each turn; Purse.Renew, Built.Halls and Built.Settings had no caller; potNames and Purses.Close sorted keys in ways of their own.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -275,14 +275,6 @@
 	p.level = min(p.level, p.depth())
 }
 
-// Renew moves the end of the share on.
-func (p *Purse) Renew(now, until float64) {
-	p.settle(now)
-	if p.share > 0 {
-		p.until = max(p.until, until)
-	}
-}
-
 func (p *Purse) depth() float64 { return p.terms.depth(p.share) }
 
 // settle brings the purse to a moment: a share that has ended is gone, and what it had saved up with it. A clock that runs
--- a/internal/fleet/roll.go
+++ b/internal/fleet/roll.go
@@ -100,8 +100,9 @@
 	var all sync.WaitGroup
 	defer all.Wait()
 	room := make(chan bool, askedAtOnce)
+	orders := l.Orders(seen)
 	for _, t := range l.Plan().Turns {
-		o, ok := l.Orders(seen)[t.Broker]
+		o, ok := orders[t.Broker]
 		if !ok {
 			continue
 		}
--- a/internal/fleetrig/site.go
+++ b/internal/fleetrig/site.go
@@ -74,15 +74,13 @@
 type Built struct {
 	Brokers, Seats, Leaves int
 	TTL, Tick              time.Duration
-	Halls                  []string          // of the brokers, by turns; none for one
-	Settings               map[string]string // words of the configuration that are replaced
-	Set                    []string          // choices of the operators' file
+	Set                    []string // choices of the operators' file
 	Dir                    string
 }
 
 const siteConfig = `{"name":"NAME","listen":"LISTEN","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"seq":41,"whole":true,"hosts":[HOSTS]},
- "settings":{"instances":BROKERS,"tick":5,"myZone":"HALL","discovery":"pushed","worthBy":"request",
+ "settings":{"instances":BROKERS,"tick":5,"myZone":"a","discovery":"pushed","worthBy":"request",
  "lanes":[{"name":"all","effect":"read_like","target":400,"giveUp":1000,"worth":1,"window":1000}],
  "tenants":[{"name":"acme","quotaPerS":100000}],
  "familyInfo":{"perCall":1,"places":2,"reach":1,"slices":2,"classNeed":[1],"minShare":[1],"incompleteWorth":[0],"fetchParts":[0]},
@@ -126,14 +124,7 @@
 		ip := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250, i+1)
 		p.HTTP, p.Peer = fmt.Sprintf("%s:%d", ip, 5000+group%100), fmt.Sprintf("%s:%d", ip, 5200+group%1000)
 		p.Config = filepath.Join(s.dir, p.Name+".json")
-		hall := "a"
-		if len(b.Halls) > 0 {
-			hall = b.Halls[i%len(b.Halls)]
-		}
-		words := []string{"NAME", p.Name, "LISTEN", p.HTTP, "HALL", hall, "BROKERS", fmt.Sprint(b.Brokers), "HOSTS", strings.Join(hosts, ",")}
-		for from, to := range b.Settings {
-			words = append(words, from, to)
-		}
+		words := []string{"NAME", p.Name, "LISTEN", p.HTTP, "BROKERS", fmt.Sprint(b.Brokers), "HOSTS", strings.Join(hosts, ",")}
 		if err = os.WriteFile(p.Config, []byte(strings.NewReplacer(words...).Replace(siteConfig)), 0o600); err != nil {
 			return nil, err
 		}
--- a/lease/pots.go
+++ b/lease/pots.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"maps"
 	"slices"
 
 	"brackenfront/budget"
@@ -201,7 +202,7 @@
 
 // linger frees what nobody can hold any more.
 func (s *State) linger() {
-	for _, name := range s.potNames() {
+	for _, name := range slices.Sorted(maps.Keys(s.pots)) {
 		pt := s.pots[name]
 		before := len(pt.Lapsed)
 		pt.Lapsed = slices.DeleteFunc(pt.Lapsed, func(l lapsed) bool {
@@ -236,15 +237,6 @@
 	return all
 }
 
-func (s *State) potNames() []string {
-	all := make([]string, 0, len(s.pots))
-	for n := range s.pots {
-		all = append(all, n)
-	}
-	slices.Sort(all)
-	return all
-}
-
 // Pot is one budget as it stands, for people and judges. Amounts are thousandths.
 type Pot struct {
 	Name   string        `cbor:"1,keyasint" json:"name"`
@@ -267,7 +259,7 @@
 
 // Pots lists all budgets by name.
 func (s *State) Pots() (all []Pot) {
-	for _, name := range s.potNames() {
+	for _, name := range slices.Sorted(maps.Keys(s.pots)) {
 		pt := s.pots[name]
 		o := Pot{Name: name, Terms: pt.Terms, Given: pt.out()}
 		for _, l := range pt.Lapsed {
--- a/lease/purses.go
+++ b/lease/purses.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"maps"
 	"slices"
 
 	"brackenfront/budget"
@@ -143,7 +142,7 @@
 
 // Close gives up all beyond the floors, before the session's end is said.
 func (p *Purses) Close(now float64) {
-	for _, name := range slices.Sorted(maps.Keys(p.all)) {
+	for _, name := range p.names {
 		o := p.all[name]
 		o.told = Share{}
 		o.Set(now, 0, now)
--- a/lease/state.go
+++ b/lease/state.go
@@ -458,7 +458,7 @@
 	for _, n := range slices.Sorted(maps.Keys(s.notes)) {
 		m.Notes = append(m.Notes, s.notes[n])
 	}
-	for _, n := range s.potNames() {
+	for _, n := range slices.Sorted(maps.Keys(s.pots)) {
 		m.Pots = append(m.Pots, s.pots[n])
 	}
 	return Encode(m)
