A given-up part keeps its place until it is answered or its connection ends

Cause, from a trace of every call, give-up, reply and close: conn.room forgot the places of given-up parts once their clients' time was up, though a node that hangs holds them still; what came in these places filled the connection at the node, the next give-ups lay unread there and their parts went elsewhere. Excluded: order on our side, restarts. Change: time frees no place; a connection with nothing but such parts makes room for a new one (code spent). TestGivenUpKeepsItsPlace held, at its end, that a place is free once the client's time is up: that is the fault. In its place TestHangKeepsPlaces (a place is held past that time, an answer frees it) and TestSpentConnection; both seen to fail without the change.

--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"io"
-	"maps"
 	"net"
 	"os"
 	"slices"
@@ -24,7 +23,7 @@
 	calls  int           // that take a place
 	parts  map[string]*held
 	given  []*held              // given up in the write that goes on
-	ghosts map[string]time.Time // given up and not answered since, with the end of their clients' time
+	ghosts map[string]time.Time // given up and not answered since: they keep their places; with the end of their clients' time
 	hand   []*held              // what that write asks
 	writes int
 	probes []func(ok bool)
@@ -80,22 +79,33 @@
 }
 
 // room says whether a call more may go on the connection. Guards against second copies: at a node that works on
-// what it was told to give up, such a part keeps its place until it is answered or its client's time is up, and a
-// connection that carries all it may is not read, give-ups on it neither. The node would still hold what another
-// gets next, or take up later what lies unread. So one place stays free, and given-up parts count.
+// what it was told to give up, such a part keeps its place until it is answered, and a connection that carries all
+// it may is not read, give-ups on it neither. The node would still hold what another gets next, or take up later
+// what lies unread. So one place stays free, and given-up parts count for as long as the connection lasts: that
+// their clients' time is up frees no place at a node that hangs, only an answer or the connection's end does.
 func (c *conn) room() bool {
 	l := c.peer.fleet.limits()
 	most := l.Streams
 	if l.Cancel {
 		most = max(most-1, 1)
 	}
-	if c.calls < most && c.calls+len(c.ghosts) >= most {
-		now := time.Now()
-		maps.DeleteFunc(c.ghosts, func(_ string, until time.Time) bool { return now.After(until) })
-	}
 	return c.calls+len(c.ghosts) < most
 }
 
+// spent says that it has no room, and nothing more to come that anybody waits for: all that takes its places was
+// given up, and its clients' time is over.
+func (c *conn) spent(now time.Time) bool {
+	if !c.unused() || c.room() {
+		return false
+	}
+	for _, until := range c.ghosts {
+		if now.Before(until) {
+			return false
+		}
+	}
+	return true
+}
+
 // drop takes an ended part out of its call, and frees the call's place with the last one.
 func (c *conn) drop(p *held) {
 	p.conn = nil
--- a/internal/transport/nodes/fleet.go
+++ b/internal/transport/nodes/fleet.go
@@ -342,6 +342,11 @@
 		}
 	}
 	if best == nil {
+		for _, c := range slices.Clone(p.conns) {
+			if c.spent(time.Now()) { // guards against many that are of no use at a node that hangs
+				c.close("spent")
+			}
+		}
 		if bound := p.bound(); bound > 0 && len(p.conns)+p.ends >= bound { // one on its way out still has its place there
 			return nil
 		}
