What crosses the end of a client's connection is answered or never sent on; no close over unread bytes

Seen, by tests that force the crossing, each run on the code before: of clients that asked and left while the process stood still all ten searches were sent on (TestPause); an answer closed over unread bytes was reset (TestEndsOverUnread); a second SIGTERM ended the program with searches in hand (TestSecondTerm); SIGTERM behind some signals was dropped, as their one channel was full (TestNoSignalIsDropped). Cause: net/http closes what it counts as idle while a request is being read, drops what it reads after Shutdown, looks no further than one byte for a client that leaves, and never half-closes our connections. Change: clients.conn knows under one lock whether a request has begun and whether our side is shut; the server drains by itself; half-close, 0.5 s or 256 KiB of reading, close. Bytes sent ahead are put aside (16 KiB); after a pause the router asks for clients that left.

--- /dev/null
+++ b/cmd/brackenfront/crossing_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// hung has nodes that do nothing with a shard, and answer all others.
+func (p *program) hung(shard int) {
+	for _, n := range p.nodes {
+		n.do(func(a asked) string {
+			if a.shard == shard {
+				return "nothing"
+			}
+			return "hit"
+		})
+	}
+}
+
+// asks sends a search and gives its answer later.
+func (p *program) asks(r *http.Request) chan answer {
+	done := make(chan answer, 1)
+	go func() { done <- p.send(r) }()
+	return done
+}
+
+// out waits until so many parts of a shard have come to nodes.
+func (p *program) out(shard, n int) {
+	p.t.Helper()
+	p.until(p.t, "parts to be out", func() bool {
+		k := 0
+		for _, x := range p.nodes {
+			for _, g := range x.got {
+				if g.shard == shard {
+					k++
+				}
+			}
+		}
+		return k >= n
+	})
+}
+
+// TestSecondTerm: SIGTERM that comes again changes nothing: what was taken is answered. Only SIGINT ends a drain.
+func TestSecondTerm(t *testing.T) {
+	p := serving(t)
+	hold := make(chan struct{})
+	for _, n := range p.nodes {
+		n.note(func() { n.hold = hold })
+	}
+	got := p.asks(p.request("all", search(0)))
+	p.out(0, 1)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.line("msg=draining")
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.line("draining already")
+	close(hold)
+	if a := <-got; a.Status != 200 {
+		t.Fatalf("got %+v", a)
+	}
+	p.ends()
+}
+
+func TestInterruptedDrain(t *testing.T) {
+	p := serving(t)
+	p.hung(0)
+	p.raw(p.request("all", search(0)))
+	p.out(0, 1)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.line("msg=draining")
+	p.cmd.Process.Signal(syscall.SIGINT)
+	p.line("interrupted while draining")
+	<-p.exit
+	if code := p.cmd.ProcessState.ExitCode(); code != 1 {
+		t.Fatalf("ended with %d", code)
+	}
+}
+
+// TestNoSignalIsDropped: SIGTERM comes while the program reads its configuration, which takes long, and behind many other
+// signals. It is acted on.
+func TestNoSignalIsDropped(t *testing.T) {
+	p := serving(t)
+	var config string
+	p.rewrite(func(c string) string { config = c; return c })
+	os.Remove(p.config)
+	if err := syscall.Mkfifo(p.config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	pipe, err := os.OpenFile(p.config, os.O_WRONLY, 0) // once the program reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 500 {
+		p.cmd.Process.Signal(syscall.SIGUSR1)
+		p.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	go func() { // what it reads now, and if SIGHUP came once more, again
+		io.WriteString(pipe, config)
+		pipe.Close()
+		os.Remove(p.config)
+		p.rewrite(func(string) string { return config })
+	}()
+	p.line("msg=draining")
+	p.ends()
+}
+
+// TestDrainBesideHungNodes: when the end comes, a search is out at nodes that hang, one waits for its first sub-request as
+// no node may have it, and one comes in the same moment. Each gets its final answer in its time; none takes another's.
+func TestDrainBesideHungNodes(t *testing.T) {
+	p := serving(t)
+	p.hung(0)
+	p.words <- `{"seq":42,"whole":false,"hosts":[` + p.nodes[1].entry("leaving") + `,` + p.nodes[3].entry("leaving") + `]}`
+	p.words <- "end"
+	p.watched()
+	hangs := p.asks(p.request("all", search(0), "X-Expires-In", "1500m"))
+	p.out(0, 1)
+	waits := p.asks(p.request("all", search(1)))
+	late, err := net.Dial("tcp", p.addr) // accepted, says nothing yet
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	p.whole("all", []int{2}, 2) // the program has come past all of these
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.line("msg=draining")
+	r := p.request("all", search(2))
+	r.Write(late)
+	res, err := http.ReadResponse(bufio.NewReader(late), nil)
+	if err != nil || res.StatusCode != 200 || !res.Close {
+		t.Fatalf("what came in that moment: %v, %v", res, err)
+	}
+	p.words <- `{"seq":43,"whole":false,"hosts":[` + p.nodes[3].entry("active") + `]}`
+	if a := <-waits; a.Status != 200 || !a.Finished {
+		t.Fatalf("what waited got %+v", a)
+	}
+	if a := <-hangs; a.Status != 503 && a.Status != 504 {
+		t.Fatalf("what hung got %+v", a)
+	}
+	p.ends()
+}
+
+// TestPause: clients ask and leave while the process stands still, on connections that rest, on new ones, and behind bytes
+// of a next request. Nothing is sent on for them, in whatever order their requests and their ends are read.
+func TestPause(t *testing.T) {
+	p := serving(t)
+	for range 10 {
+		var rest []net.Conn
+		for range 5 {
+			c := p.raw(p.request("all", search(0)))
+			if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != 200 {
+				t.Fatal(res, err)
+			}
+			rest = append(rest, c)
+		}
+		before, _ := p.got()
+		p.cmd.Process.Signal(syscall.SIGSTOP)
+		for i, c := range rest {
+			p.request("all", search(1)).Write(c)
+			if i%2 == 1 {
+				io.WriteString(c, "POST /all HT")
+			}
+			c.Close()
+			p.raw(p.request("all", search(1))).Close()
+		}
+		p.cmd.Process.Signal(syscall.SIGCONT)
+		p.whole("all", []int{0}, 0)
+		if after, _ := p.got(); len(after) != len(before)+1 {
+			t.Fatalf("%d sent on for clients that had left", len(after)-len(before)-1)
+		}
+	}
+	p.stop()
+}
+
+// TestEndsOverUnread: a client writes more than belongs to its request, the program ends its connection after the answer,
+// and the client, slow to read, still gets an end and no reset.
+func TestEndsOverUnread(t *testing.T) {
+	p := serving(t)
+	hold := make(chan struct{})
+	for _, n := range p.nodes {
+		n.note(func() { n.hold = hold })
+	}
+	c := p.raw(p.request("all", search(0)))
+	p.out(0, 1)
+	io.WriteString(c, strings.Repeat("x", 100<<10))
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.line("msg=draining")
+	close(hold)
+	c.SetReadDeadline(time.Now().Add(patience))
+	r := bufio.NewReader(c)
+	res, err := http.ReadResponse(r, nil)
+	if err != nil || res.StatusCode != 200 || !res.Close {
+		t.Fatal(res, err)
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Fatalf("ends with %v", err)
+	}
+	c.Close()
+	p.ends()
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -341,8 +341,12 @@
 	}
 	apply(log, chosen)
 	// From the start on, and while draining, too: by default it would end the program.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	// One channel each, as what finds its channel full is dropped: of equal ones no more than one need wait.
+	term, interrupt, hangup, usr := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
+	for c, s := range map[chan os.Signal]os.Signal{term: syscall.SIGTERM, interrupt: syscall.SIGINT, hangup: syscall.SIGHUP,
+		usr: syscall.SIGUSR1} {
+		signal.Notify(c, s)
+	}
 	limit(boot)
 
 	tick := time.Duration(boot.Terms.Tick * float64(time.Second))
@@ -498,18 +502,23 @@
 	}
 	for {
 		select {
-		case s := <-signals:
-			switch {
-			case s == syscall.SIGUSR1:
-				counters()
-			case s == syscall.SIGHUP:
-				reload()
-			case draining:
-				return errors.New("a second signal came while draining")
-			default:
-				log.WithField("signal", s.String()).Info("draining")
-				drain()
+		case <-usr:
+			counters()
+		case <-hangup:
+			reload()
+		case s := <-term:
+			if draining { // whoever means to end it at once has SIGINT, or SIGKILL
+				log.WithField("signal", s.String()).Info("draining already")
+				break
+			}
+			log.WithField("signal", s.String()).Info("draining")
+			drain()
+		case s := <-interrupt:
+			if draining {
+				return errors.New("interrupted while draining")
 			}
+			log.WithField("signal", s.String()).Info("draining")
+			drain()
 		case told := <-asked.turns:
 			if draining {
 				told <- errDraining
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -40,6 +40,7 @@
 	until  time.Time    // the client waits no longer
 	done   chan verdict // the final answer; holds one
 	leave  parts.Leave  // what its parts may go out by
+	left   func() bool  // asks whether the client has left, without waiting; nil where the door cannot be asked
 
 	q      *balance.Search
 	pieces []*piece
@@ -49,6 +50,7 @@
 	schema []byte // of the current step's tables, by the first that came
 	texts  bool   // the first that came is no table
 	ended  bool
+	sent   bool    // a sub-request has been decided on
 	answer verdict // while the module's call that brought it goes on
 }
 
@@ -75,9 +77,21 @@
 // Search takes one search from its door to its final answer, which the door writes and then frees. An error
 // says that the client has left and gets none. It is called from the door's goroutine and waits.
 func (r *Router) Search(ctx context.Context, s *protocol.Search, came time.Time) (protocol.Final, error) {
+	return r.search(ctx, s, came, nil)
+}
+
+// search is Search by a door that can be asked whether the client has left before the context tells.
+func (r *Router) search(ctx context.Context, s *protocol.Search, came time.Time, gone func() bool) (protocol.Final, error) {
 	left := time.Duration(min(s.Left, s.Under.Longest.Seconds()) * float64(time.Second))
-	ex := &Exchange{r: r, search: s, until: came.Add(left), done: make(chan verdict, 1)}
-	if !r.post(func() { r.take(ex) }) {
+	ex := &Exchange{r: r, search: s, until: came.Add(left), done: make(chan verdict, 1), left: gone}
+	if err := ctx.Err(); err != nil {
+		return protocol.Final{}, err
+	}
+	if !r.post(func() {
+		if ctx.Err() == nil { // else its client left while it stood in line
+			r.take(ex)
+		}
+	}) {
 		return protocol.Final{How: protocol.Stopped}, nil
 	}
 	timer := time.NewTimer(left)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -234,7 +234,11 @@
 	r.turn = time.Now()
 	r.now = r.epoch + r.turn.Sub(r.start).Seconds()
 	r.count.Turns++
+	late := r.wakeAt > 0 && r.now > r.wakeAt+2*r.d.Terms.Tick
 	r.broker.Begin(r.now)
+	if late {
+		r.unwanted()
+	}
 	if r.budgets != nil {
 		if p := r.budgets.Parts(); p != r.parts {
 			r.parts = p
@@ -243,6 +247,16 @@
 	}
 }
 
+// unwanted ends the searches that wait for their first sub-request and whose clients have left. Guards against sending them
+// on after a pause of this process, when the turn may come before whoever reads that the client has closed.
+func (r *Router) unwanted() {
+	for _, ex := range r.ids {
+		if !ex.sent && ex.left != nil && ex.left() {
+			r.gone(ex)
+		}
+	}
+}
+
 // finish closes the turn, and further ones for what the module's own wishes brought about.
 func (r *Router) finish() {
 	for {
--- a/internal/routing/tripper.go
+++ b/internal/routing/tripper.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"brackenfront/internal/protocol"
+	"brackenfront/internal/transport/clients"
 )
 
 // Tripper answers requests by way of the router, where a reverse proxy's transport would go to
@@ -49,7 +50,7 @@
 	if err != nil {
 		return t.refuse(req, http.StatusBadRequest, err.Error())
 	}
-	f, err := t.r.Search(req.Context(), s, came)
+	f, err := t.r.search(req.Context(), s, came, func() bool { return clients.Left(req.Context()) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/clients/conn.go
+++ b/internal/transport/clients/conn.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -10,27 +11,45 @@
 	"time"
 )
 
-// conn is a client's connection that remembers why it ended.
+// Bounds on what a connection may still cost.
+const (
+	lingerTime  = 500 * time.Millisecond // after its sending side is shut, until the client has closed its own,
+	lingerBytes = 256 << 10              // and what is read, and thrown away, in that time
+	mostAhead   = 16 << 10               // of what a client sends while its request is in hand
+	mute        = time.Second            // that a new one may say nothing where descriptors are short
+)
+
+// conn is a client's connection. It remembers why it ended, and it is where two events may cross that net/http cannot
+// tell apart: a request that comes while we shut the connection, and a client that leaves behind bytes it sent ahead.
 type conn struct {
 	net.Conn
+	raw  syscall.RawConn // nil where the system cannot be asked
 	s    *Server
 	made time.Time
 
 	mu      sync.Mutex
 	code    string
-	idle    bool // between requests, as far as the server knows
+	idle    bool // answered before, and nothing has come since
 	idleAt  time.Time
 	served  int
-	halted  bool // the server broke off a read of its own
-	leaving bool // closed by us while unused
+	halted  bool   // the server broke off a read of its own
+	leaving bool   // closed by us while unused
+	begun   bool   // bytes of a request have come that is not answered
+	inHand  bool   // a request has been read up to its body at least, and is not answered
+	shut    bool   // our sending side; nothing that comes from now on is a request
+	ahead   []byte // what came behind the request in hand
+	end     error  // what came behind that: the client has left
 }
 
 // SetReadDeadline guards against taking the server's own break for a slow client: while a search
 // is in hand the server waits for the client to leave, and ends that wait by a time long past.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut {
+		return nil // its end goes by a time of its own
+	}
 	c.halted = !t.IsZero() && t.Before(time.Now())
-	c.mu.Unlock()
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -43,14 +62,177 @@
 	c.mu.Unlock()
 }
 
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+func (c *conn) Read(b []byte) (n int, err error) {
+	c.mu.Lock()
+	switch {
+	case c.shut:
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	case c.inHand && len(b) == 1 && c.raw != nil:
+		c.mu.Unlock()
+		n, err = c.attend(b)
+	case len(c.ahead) > 0:
+		n = c.next(b)
+		c.mu.Unlock()
+	case c.end != nil:
+		err = c.end
+		c.mu.Unlock()
+	default:
+		c.mu.Unlock()
+		n, err = c.Conn.Read(b)
+		if n > 0 {
+			c.mu.Lock()
+			c.began()
+			c.mu.Unlock()
+		}
+	}
 	if err != nil {
 		c.why(c.fault(err))
 	}
 	return n, err
 }
 
+// began notes that a request has begun to come; the lock is held.
+func (c *conn) began() {
+	if c.begun = true; c.idle {
+		c.idle = false
+		c.s.unused.Add(-1)
+	}
+}
+
+// next gives what came ahead; the lock is held.
+func (c *conn) next(b []byte) int {
+	n := copy(b, c.ahead)
+	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	c.began()
+	return n
+}
+
+// attend waits for the client to leave while its request is in hand. net/http reads one byte for that, and once it has
+// one it looks no further: a client that leaves behind bytes of a next request would not be seen to have left. So these
+// are put aside, as far as the bound goes; beyond it we see no more than net/http does.
+func (c *conn) attend(b []byte) (n int, err error) {
+	for err == nil {
+		if bad := c.raw.Read(func(fd uintptr) bool {
+			err = c.look(fd)
+			return err != syscall.EAGAIN
+		}); bad != nil {
+			return 0, bad
+		}
+	}
+	if err == errFull {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.next(b), nil
+	}
+	return 0, err
+}
+
+var errFull = errors.New("more came ahead than is kept")
+
+// look puts aside what lies unread, without waiting. No error means that there may be more, EAGAIN that there is none.
+func (c *conn) look(fd uintptr) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.end != nil {
+		return c.end
+	}
+	var buf [1024]byte
+	room := min(mostAhead-len(c.ahead), len(buf))
+	if room <= 0 {
+		return errFull
+	}
+	n, err := syscall.Read(int(fd), buf[:room])
+	switch {
+	case err == syscall.EINTR:
+		return nil
+	case err == syscall.EAGAIN:
+		return err
+	case err != nil:
+		c.end = err
+	case n == 0:
+		c.end = io.EOF
+	default:
+		c.ahead = append(c.ahead, buf[:n]...)
+	}
+	return c.end
+}
+
+// left says whether the client has closed its connection, by what lies unread: after a pause of this process nobody may
+// have read it yet. It waits for nothing; a request has to be in hand.
+func (c *conn) left() bool {
+	if c.raw == nil {
+		return false
+	}
+	for {
+		var err error
+		if c.raw.Control(func(fd uintptr) { err = c.look(fd) }) != nil {
+			return true
+		}
+		if err != nil {
+			return err != syscall.EAGAIN && err != errFull
+		}
+	}
+}
+
+// Left says whether the client of a request that is in hand has closed its connection, though the request's context may
+// not have been told yet.
+func Left(ctx context.Context) bool {
+	c, ok := ctx.Value(key{}).(*conn)
+	return ok && c.left()
+}
+
+// take takes a request in hand. Guards against one whose answer has no way back: what had begun to come before the
+// connection was shut is answered, and what was read after that never was a request. The same where its client has left.
+func (c *conn) take() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut || c.end != nil {
+		return false
+	}
+	c.inHand = true
+	c.began()
+	return true
+}
+
+// shutIf shuts our sending side if no request has begun to come: the client sees an end, and sends a request that
+// crosses it once more elsewhere.
+func (c *conn) shutIf(code string, which func() bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut || c.begun || c.code != "" || !which() {
+		return false
+	}
+	c.code = code
+	if c.idle {
+		c.idle, c.leaving = false, true
+		c.s.unused.Add(-1)
+	}
+	c.finish()
+	return true
+}
+
+// finish shuts our sending side, and has whoever reads look up; the lock is held.
+func (c *conn) finish() {
+	c.shut = true
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		w.CloseWrite()
+	}
+	c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// CloseWrite is what net/http asks for where it gives up on a body.
+func (c *conn) CloseWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.shut {
+		c.finish()
+	}
+	return nil
+}
+
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	if err != nil {
@@ -66,7 +248,7 @@
 		defer c.mu.Unlock()
 		if c.halted {
 			return ""
-		} else if c.idle {
+		} else if !c.begun && c.served > 0 {
 			return "idle"
 		}
 		return "slow"
@@ -78,8 +260,19 @@
 	return "broken"
 }
 
-// Close leaves the line that every connection leaves.
+// Close ends it and leaves the line that every connection leaves. Only the server's goroutine for this connection calls
+// it, and waits here: closed over unread bytes it would be reset, and the end of an answer could go with that.
 func (c *conn) Close() error {
+	c.mu.Lock()
+	gone := c.end != nil || c.code == "left" || c.code == "reset" || c.code == "broken"
+	if !c.shut {
+		c.finish()
+	}
+	c.mu.Unlock()
+	if !gone {
+		c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
 	err := c.Conn.Close()
 	c.s.closed(c)
 	return err
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	stdlog "log"
 	"maps"
@@ -15,6 +14,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -47,7 +47,10 @@
 	quiet   io.Closer // what the HTTP library has to say goes to the log through it
 	ln      net.Listener
 
-	unused atomic.Int64 // connections between requests
+	unused   atomic.Int64 // connections between requests
+	draining atomic.Bool
+	over     chan struct{} // closed when no more connections are accepted
+	gone     chan struct{} // a connection has ended
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
@@ -69,7 +72,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{limits: l, others: others, log: log, ln: ln, conns: map[*conn]struct{}{}}
+	s := &Server{limits: l, others: others, log: log, ln: ln, conns: map[*conn]struct{}{}, over: make(chan struct{}),
+		gone: make(chan struct{}, 1)}
 	s.count.Codes = map[string]int{}
 	s.Restate(l.Request)
 	words := log.WriterLevel(logrus.WarnLevel)
@@ -85,12 +89,20 @@
 			// Guards against a body that grows without end while it is read.
 			p.Out.Body = http.MaxBytesReader(nil, p.Out.Body, protocol.MaxBody)
 		},
+		ModifyResponse: func(res *http.Response) error {
+			s.last(res.Header)
+			return nil
+		},
 		ErrorHandler: s.failed,
 		ErrorLog:     quiet,
 	}
 	serve := func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(key{}).(*conn)
+		if c == nil || !c.take() {
+			panic(http.ErrAbortHandler) // nothing that it asks for may happen, and no answer has a way
+		}
 		if r.URL.Path == "/healthz" {
-			if !ready() {
+			if s.last(w.Header()); !ready() {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
 			return
@@ -101,7 +113,21 @@
 		now, bound := time.Now(), time.Duration(s.request.Load())
 		rc.SetReadDeadline(now.Add(bound))
 		rc.SetWriteDeadline(now.Add(3 * bound))
-		r.Body = &body{r.Body, func() { rc.SetReadDeadline(time.Time{}) }}
+		if r.ContentLength == 0 {
+			proxy.ServeHTTP(w, r)
+			return
+		}
+		ctx, leave := context.WithCancel(r.Context())
+		defer leave()
+		r = r.WithContext(ctx)
+		r.Body = &body{r.Body, func() {
+			rc.SetReadDeadline(time.Time{})
+			// Guards against sending on what nobody waits for: after a pause of this process a request and its client's
+			// end may both lie unread.
+			if c.left() {
+				leave()
+			}
+		}}
 		proxy.ServeHTTP(w, r)
 	}
 	// A request may take its bound to come, as long again in hand, and again to be answered.
@@ -133,33 +159,58 @@
 // Addr is where it listens.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
-// Serve serves until Close or Drain; any other end is an error.
+// Serve serves until Drain; any other end is an error.
 func (s *Server) Serve() error {
-	if err := s.http.Serve(&listener{s.ln, s}); !errors.Is(err, http.ErrServerClosed) {
+	defer close(s.over)
+	if err := s.http.Serve(&listener{s.ln, s}); !s.draining.Load() {
 		return err
 	}
 	return nil
 }
 
-// Drain ends the service in good order: at once every connection closes after its request, while
-// new ones are still taken for so long; then it waits for all requests, as long as ctx lasts.
+// Drain ends the service in good order. At once all connections close on which no request has begun, and every other one
+// after its answer; new ones are still taken for so long. Then it waits for all requests, as long as ctx lasts. net/http's
+// own ways to end are not used: they close a connection while its request is being read, and drop what was read then.
 func (s *Server) Drain(ctx context.Context, accept time.Duration) {
-	s.mu.Lock()
-	for c := range s.conns {
-		c.drainable()
+	s.draining.Store(true)
+	for _, c := range s.all() {
+		c.shutIf("drained", func() bool { return c.served > 0 })
 	}
-	s.mu.Unlock()
-	s.http.SetKeepAlivesEnabled(false)
 	select {
 	case <-time.After(accept):
 	case <-ctx.Done():
 	}
-	if s.http.Shutdown(ctx) != nil {
-		s.http.Close()
+	s.ln.Close()
+	<-s.over
+	for _, c := range s.all() { // those that have said nothing; their clients rest until we end them
+		c.shutIf("drained", func() bool { return true })
+	}
+	for len(s.all()) > 0 && ctx.Err() == nil {
+		select {
+		case <-s.gone:
+		case <-ctx.Done():
+		}
+	}
+	for _, c := range s.all() {
+		c.Conn.Close()
 	}
+	s.http.Close()
 	s.quiet.Close()
 }
 
+func (s *Server) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+// last says in an answer that its connection ends with it, where that is so.
+func (s *Server) last(h http.Header) {
+	if s.draining.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // Counts gives the sums.
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
@@ -174,11 +225,15 @@
 	if c, ok := r.Context().Value(key{}).(*conn); ok && r.Context().Err() != nil {
 		c.why("left")
 	}
+	s.last(w.Header())
 	w.WriteHeader(http.StatusBadRequest)
 }
 
 func (s *Server) accepted(sock net.Conn) *conn {
 	c := &conn{Conn: sock, s: s, made: time.Now()}
+	if raw, ok := sock.(syscall.Conn); ok {
+		c.raw, _ = raw.SyscallConn()
+	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.count.Accepted++
@@ -193,34 +248,45 @@
 }
 
 // Shorten closes up to so many unused connections, those to nodes first, as clients cannot tell
-// a closed one from one that ended while they were sending.
+// a closed one from one that ended while they were sending. Those that have said nothing since they came go last.
 func (s *Server) Shorten(most int) int {
 	done := s.others.Shorten(most)
-	return done + s.trim(most-done, 0, "short")
+	done += s.trim(most-done, 0, "short")
+	if done >= most {
+		return done
+	}
+	before := time.Now().Add(-mute)
+	for _, c := range s.all() {
+		if done < most && c.shutIf("mute", func() bool { c.leaving = c.made.Before(before); return c.leaving }) {
+			done++
+			s.mu.Lock()
+			s.leaving++
+			s.mu.Unlock()
+		}
+	}
+	return done
 }
 
 // trim closes the clients' connections that are unused longest, so many at the most and while more than
 // keep are unused.
 func (s *Server) trim(most, keep int, code string) (done int) {
-	var idle []*conn
-	s.mu.Lock()
-	for c := range s.conns {
+	type unused struct {
+		c  *conn
+		at time.Time
+	}
+	var idle []unused
+	for _, c := range s.all() {
 		c.mu.Lock()
 		if c.idle && c.code == "" {
-			idle = append(idle, c)
+			idle = append(idle, unused{c, c.idleAt})
 		}
 		c.mu.Unlock()
 	}
-	s.mu.Unlock()
-	slices.SortFunc(idle, func(a, b *conn) int { return a.idleAt.Compare(b.idleAt) })
-	for _, c := range idle[:max(min(most, len(idle)-keep), 0)] {
-		c.mu.Lock()
-		if c.idle && c.code == "" { // still
-			c.code, c.leaving = code, true
+	slices.SortFunc(idle, func(a, b unused) int { return a.at.Compare(b.at) })
+	for _, u := range idle[:max(min(most, len(idle)-keep), 0)] {
+		if u.c.shutIf(code, func() bool { return u.c.idle }) { // still
 			done++
-			c.Conn.Close()
 		}
-		c.mu.Unlock()
 	}
 	s.mu.Lock()
 	s.leaving += done
@@ -237,32 +303,29 @@
 	c.mu.Lock()
 	switch to {
 	case http.StateActive:
-		if c.idle {
-			s.unused.Add(-1)
-		}
-		c.idle = false
 		c.served++
 	case http.StateIdle:
-		c.idle, c.idleAt = true, time.Now()
-		s.unused.Add(1)
+		c.inHand = false
+		if c.begun = len(c.ahead) > 0; !c.begun && !c.shut {
+			c.idle, c.idleAt = true, time.Now()
+			s.unused.Add(1)
+		}
 	}
 	c.mu.Unlock()
+	if to != http.StateIdle {
+		return
+	}
+	// Its answer may have gone out without the word that it was the last.
+	if s.draining.Load() {
+		c.shutIf("drained", func() bool { return true })
+	}
 	// Guards against clients that ask once and keep their connection: what they may hold in all is bounded
 	// on their side too, and who finds no place for a new connection cannot ask at all.
-	if to == http.StateIdle && s.unused.Load() > int64(s.limits.Unused) {
+	if s.unused.Load() > int64(s.limits.Unused) {
 		s.trim(math.MaxInt, s.limits.Unused, "kept")
 	}
 }
 
-// drainable notes beforehand why an unused connection is about to be closed.
-func (c *conn) drainable() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idle && c.code == "" {
-		c.code = "drained"
-	}
-}
-
 func (s *Server) closed(c *conn) {
 	s.mu.Lock()
 	_, held := s.conns[c]
@@ -286,6 +349,10 @@
 	}
 	s.mu.Unlock()
 	if held {
+		select {
+		case s.gone <- struct{}{}:
+		default:
+		}
 		s.log.WithField("side", "client").WithField("peer", c.RemoteAddr().String()).WithField("code", code).
 			WithField("requests", served).WithField("ms", time.Since(c.made).Milliseconds()).Info("connection ended")
 	}
