Lists: indented, older and astray ones told apart; nothing waits for a node's former place

Change: the router takes back from every place that an active node had and has no longer; words are JSON values, not lines, bounded in bytes and time; versions before the one in hand are counted and left; each word says which list it is of, and the router heeds those of the list in force.

--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -41,7 +41,7 @@
 		}
 	}
 	log.WithFields(logrus.Fields{"watches": d.Watches, "words": d.Words, "entries": d.Entries, "broken": d.Broken,
-		"lists": c.Lists, "restated": c.Restated}).Info("counters: discovery")
+		"old": d.Old, "astray": c.Astray, "lists": c.Lists, "restated": c.Restated}).Info("counters: discovery")
 }
 
 // tally is this broker's part of a report on the whole fleet: counts that add up.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -455,6 +455,9 @@
 		}
 		restart := append(slices.Clone(fixed), chosen.Differs(newer)...)
 		switched, moved := false, !boot.Layout(again.Deployment)
+		if moved {
+			again.Known.Of = boot.Known.Of + 1
+		}
 		if len(fixed) == 0 && !boot.Same(again.Deployment) {
 			if err := router.Restate(again.Deployment, again.Known); err != nil {
 				log.WithError(err).Error("the configuration could not be put in force, the running one stays")
@@ -466,7 +469,7 @@
 			fleet.Restate(stated(again, tick))
 			server.Restate(again.Longest)
 			longest = max(longest, again.Longest)
-			boot.Deployment, switched = again.Deployment, true
+			boot.Deployment, boot.Known.Of, switched = again.Deployment, again.Known.Of, true
 		}
 		if switched && moved {
 			list.Rewind(again.Discovery, again.Known)
--- a/internal/protocol/listing.go
+++ b/internal/protocol/listing.go
@@ -12,6 +12,7 @@
 	Seq   int64
 	Whole bool
 	Hosts []Host
+	Of    int // which list it is a version of, counted by who moves from one to another; the wire does not say
 }
 
 // Host is one entry. Born is in seconds of Unix time, 0 for long ago.
--- a/internal/routing/crossing_test.go
+++ b/internal/routing/crossing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,3 +86,91 @@
 		t.Fatalf("taken: %+v", c)
 	}
 }
+
+// TestHandOver: a part waits for its connection to a node, whose handshake is late, as the list takes that node from its
+// place: it drains, has left, is missing in a whole list, is at another address, or another node has its address. Nothing
+// goes to the old place once the connection is up.
+func TestHandOver(t *testing.T) {
+	for _, how := range []string{"drains", "left", "missing", "moved", "replaced"} {
+		g := newRig(t)
+		free := g.gate.Hold("n0")
+		g.r.Listed(g.list(balance.Active, balance.Gone))
+		id, got := g.ask(context.Background(), "all", "90000m")
+		w := wait(g, "a write", g.gate.Writes) // of shard 1; that of shard 0 waits
+		w.Let()
+		says("hit")(w, id, 1)
+		l := g.list(balance.Active, balance.Active)
+		switch how {
+		case "drains":
+			l.Hosts[0].Standing = balance.Draining
+		case "left":
+			l.Hosts[0].Standing = balance.Gone
+		case "missing":
+			l.Hosts = l.Hosts[1:]
+		case "moved":
+			l.Whole, l.Hosts[0].Dial = false, "elsewhere"
+		case "replaced": // by one that holds the other shard
+			l.Hosts[0].Name, l.Hosts[0].Cell = "n9", 1
+		}
+		g.r.Listed(l)
+		for n := g.r.Counts().Lists; n < 3; n = g.r.Counts().Lists {
+		}
+		g.fleet.Probe("n0", func(bool) {}) // behind all that waits there
+		free()
+		for old, other := false, false; !old || !other; {
+			w := wait(g, "what goes where", g.gate.Writes)
+			if w.Addr == "n0" {
+				if old = true; !strings.Contains(w.Text, "A"+id) {
+					continue
+				}
+				t.Fatalf("%s: the old place got it", how)
+			}
+			if other = true; w.Addr != "n2" && w.Addr != "elsewhere" || !strings.Contains(w.Text, "A"+id+".0 ") {
+				t.Fatalf("%s: %q to %s", how, w.Text, w.Addr)
+			}
+			w.Let()
+			says("hit")(w, id, 0)
+		}
+		if s := wait(g, "the answer", got); s != 200 {
+			t.Fatalf("%s: status %d", how, s)
+		}
+	}
+}
+
+// TestAstray: a word of the former list comes after the deployment has taken another shape, by which its nodes would hold
+// other shards. It changes nothing; the next one of the list in force does.
+func TestAstray(t *testing.T) {
+	g := newRig(t)
+	raw := strings.NewReplacer("TRIES", "3", "CANCEL", "true", `"places":2`, `"places":4`, `"slices":2`, `"slices":4`).Replace(deployment)
+	d, err := protocol.ParseSettings(json.RawMessage(raw), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := g.list(balance.Active, balance.Active)
+	for i := range known.Hosts {
+		known.Hosts[i].Cell = i
+	}
+	known.Of = 1
+	g.held(func() { // both wait for the router, the switch first
+		go g.r.Restate(d, known)
+		for len(g.r.calls) == 0 {
+		}
+		go g.r.Listed(g.list(balance.Active, balance.Gone))
+		for len(g.r.calls) < 2 {
+		}
+	})
+	active := func() (is bool) {
+		done := make(chan struct{})
+		g.r.post(func() { is = g.r.broker.Active(2); close(done) })
+		wait(g, "the router", done)
+		return is
+	}
+	if c := g.r.Counts(); !active() || c.Astray != 1 || c.Restated != 1 {
+		t.Fatalf("node 2 active: %v, %+v", active(), c)
+	}
+	known.Seq, known.Hosts[2].Standing = 2, balance.Gone
+	g.r.Listed(known)
+	if active() {
+		t.Fatal("a word of the list in force changes nothing")
+	}
+}
--- a/internal/routing/leave_test.go
+++ b/internal/routing/leave_test.go
@@ -36,9 +36,10 @@
 // rig is a router whose every write to a node waits for the test.
 type rig struct {
 	*testing.T
-	gate *standin.Gate
-	r    *Router
-	ids  int
+	gate  *standin.Gate
+	r     *Router
+	fleet *nodes.Fleet
+	ids   int
 }
 
 func newRig(t *testing.T, change ...string) *rig {
@@ -50,13 +51,13 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	g := &rig{T: t, gate: standin.NewGate()}
-	fleet := nodes.NewFleet(nodes.Limits{Streams: d.Streams, Connect: d.Connect, Idle: d.Idle, Longest: d.Longest,
+	g.fleet = nodes.NewFleet(nodes.Limits{Streams: d.Streams, Connect: d.Connect, Idle: d.Idle, Longest: d.Longest,
 		Cancel: d.Terms.MayCancel, Dial: g.gate.Dial}, log)
-	if g.r, err = New(d, g.list(balance.Active, balance.Active), fleet); err != nil {
+	if g.r, err = New(d, g.list(balance.Active, balance.Active), g.fleet); err != nil {
 		t.Fatal(err)
 	}
 	g.r.Start()
-	t.Cleanup(func() { g.r.Stop(); fleet.Close() })
+	t.Cleanup(func() { g.r.Stop(); g.fleet.Close() })
 	return g
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -22,6 +22,7 @@
 	live    atomic.Pointer[protocol.Deployment] // the same, for all others
 	backs   []Leaves                            // for nodes that speak in frames, then for those that speak Flight, if there is one
 	known   protocol.Listing
+	of      int            // the list that the nodes are known by
 	budgets Budgets        // nil: even parts
 	parts   *balance.Parts // that the module goes by
 	trials  Trials         // nil: the router tries nodes by itself
@@ -75,6 +76,7 @@
 	Turns, Calls                                          int
 	Probed                                                int
 	Lists, Restated                                       int
+	Astray                                                int // words of a list that is no longer the one in force
 	Mute, Unlike                                          int // entries that speak Flight where that is off; values that fit no others
 }
 
@@ -93,7 +95,7 @@
 	if r.broker, err = balance.New(r, d.Terms); err != nil {
 		return nil, err
 	}
-	r.known = known
+	r.known, r.of = known, known.Of
 	r.live.Store(d)
 	return r, nil
 }
@@ -104,7 +106,8 @@
 }
 
 // Restate puts other settings in force, or none of them: what is in hand ends by those it came under, what comes
-// from now on goes by the new ones. known is the list that belongs to them, taken in where the shards lie otherwise.
+// from now on goes by the new ones. known is the list that belongs to them, taken in where the shards lie otherwise; from
+// then on words count that say by Of that they are of that list.
 // What only a restart puts in force (Deployment.Fixed) has to be the same.
 func (r *Router) Restate(d *protocol.Deployment, known protocol.Listing) error {
 	told := make(chan error, 1)
@@ -140,8 +143,10 @@
 	r.d = d
 	r.live.Store(d)
 	r.count.Restated++
-	if moved && known.Whole {
-		r.list(known)
+	if moved {
+		if r.of = known.Of; known.Whole {
+			r.list(known)
+		}
 	}
 	return nil
 }
@@ -350,7 +355,24 @@
 func (r *Router) clock() float64 { return r.epoch + time.Since(r.start).Seconds() }
 
 func (r *Router) list(l protocol.Listing) {
+	// Guards against a word that was on its way as the deployment took another shape: its nodes hold other shards.
+	if l.Of != r.of {
+		r.count.Astray++
+		return
+	}
 	entries := make([]balance.Listed, 0, len(l.Hosts))
+	// Guards against sending what waits for its connection to a node that has left, or that is elsewhere now while another
+	// has its address: who got work until now, and where.
+	type place struct {
+		via  Leaves
+		addr string
+	}
+	was := make([]place, len(r.addrs))
+	for at := range r.addrs {
+		if r.broker.Active(at) {
+			was[at] = place{r.via[at], r.addrs[at]}
+		}
+	}
 	for _, h := range l.Hosts {
 		zone, ok := r.zones[h.Zone]
 		if !ok {
@@ -379,11 +401,11 @@
 		r.ready.Store(true)
 	}
 	r.broker.List(l.Whole, entries)
-	for _, e := range entries {
-		if e.Standing == balance.Active {
+	for at, w := range was {
+		if w.via == nil || r.broker.Active(at) && w == (place{r.via[at], r.addrs[at]}) {
 			continue
 		}
-		for _, sub := range r.via[e.Node].Halt(r.addrs[e.Node], r.d.Grace-r.tick) {
+		for _, sub := range w.via.Halt(w.addr, r.d.Grace-r.tick) {
 			r.later = append(r.later, func() {
 				r.reply(sub.Owner.(*Exchange), sub.At, sub.Try, protocol.Ended{How: balance.Moot})
 			})
--- a/internal/transport/watch/watch.go
+++ b/internal/transport/watch/watch.go
@@ -2,9 +2,10 @@
 package watch
 
 import (
-	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -24,12 +25,13 @@
 	missing   = 2
 )
 
-// maxLine bounds one word of discovery.
-const maxLine = 16 << 20
+// most bounds one word of discovery, in bytes; how long one may take is bounded as silence is.
+const most = 16 << 20
 
 // Watch follows discovery until it is stopped.
 type Watch struct {
 	seq  int64
+	of   int           // which list that is a version of
 	wait time.Duration // before the second try; it doubles up to a heartbeat
 	log  *logrus.Logger
 	told func(protocol.Listing)
@@ -41,19 +43,22 @@
 
 	mu    sync.Mutex
 	addr  string
-	from  *int64             // the version that the next watch goes on from, where that is not the one in hand
+	from  *protocol.Listing  // what the next watch goes on from, where that is not the version in hand
 	turn  context.CancelFunc // ends the watch that runs, or the wait for the next
 	count Counts
 }
 
 // Counts are sums since the start.
-type Counts struct{ Watches, Words, Entries, Broken int }
+type Counts struct {
+	Watches, Words, Entries, Broken int
+	Old                             int // words of a version before the one in hand
+}
 
 // New follows the list from known on. told gets every word in order, lost hears that a watch
 // ended; both may wait. Nothing happens before Start.
 func New(addr string, known protocol.Listing, wait time.Duration, log *logrus.Logger,
 	told func(protocol.Listing), lost func()) *Watch {
-	w := &Watch{addr: addr, seq: known.Seq, wait: wait, log: log, told: told, lost: lost, beat: heartbeat,
+	w := &Watch{addr: addr, seq: known.Seq, of: known.Of, wait: wait, log: log, told: told, lost: lost, beat: heartbeat,
 		turn: func() {}}
 	d := net.Dialer{Timeout: heartbeat, KeepAlive: -1}
 	w.http.Transport = &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, Proxy: nil,
@@ -85,11 +90,12 @@
 	}
 }
 
-// Rewind goes on from another list, at an address that may be another: what is told next is what changed since then.
+// Rewind goes on from another list, at an address that may be another: what is told next is what changed since then. A word
+// of the list before may still be told; it says by Of that it is one.
 func (w *Watch) Rewind(addr string, known protocol.Listing) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.addr, w.from = addr, &known.Seq
+	w.addr, w.from = addr, &known
 	w.turn()
 }
 
@@ -120,7 +126,7 @@
 		w.mu.Lock()
 		addr := w.addr
 		if w.from != nil {
-			w.seq, w.from = *w.from, nil
+			w.seq, w.of, w.from = w.from.Seq, w.from.Of, nil
 		}
 		w.turn = cancel
 		w.mu.Unlock()
@@ -184,46 +190,78 @@
 	if res.StatusCode != http.StatusOK {
 		return 0, "status", fmt.Errorf("answered %s", res.Status)
 	}
-	r := bufio.NewReader(res.Body)
-	var line []byte
-	for {
-		chunk, err := r.ReadSlice('\n')
-		quiet.Reset(missing * w.beat)
-		line = append(line, chunk...)
-		if err == bufio.ErrBufferFull {
-			if len(line) > maxLine {
-				return words, "malformed", fmt.Errorf("a line of over %d bytes", maxLine)
-			}
-			continue
-		}
-		if err != nil {
-			if ctx.Err() != nil {
+	r := &pulse{r: res.Body, beat: func() { quiet.Reset(missing * w.beat) }, left: most}
+	for dec := json.NewDecoder(r); ; {
+		var text json.RawMessage
+		if err := dec.Decode(&text); err != nil {
+			var syntax *json.SyntaxError
+			switch {
+			case ctx.Err() != nil:
 				return words, "silent", nil
-			}
-			if err == io.EOF {
+			case err == io.EOF:
 				return words, "ended", nil
+			case err == errLong || errors.As(err, &syntax):
+				return words, "malformed", w.broken(err)
 			}
 			return words, "broken", err
 		}
-		if text := bytes.TrimSpace(line); len(text) > 0 {
-			list, err := protocol.ParseListing(text)
-			if err == nil && !list.Whole && list.Seq < w.seq {
-				err = fmt.Errorf("changes of version %d after version %d", list.Seq, w.seq)
-			}
-			if err != nil {
-				w.mu.Lock()
-				w.count.Broken++
-				w.mu.Unlock()
-				return words, "malformed", err
-			}
-			words++
-			w.seq = list.Seq
-			w.mu.Lock()
-			w.count.Words++
-			w.count.Entries += len(list.Hosts)
-			w.mu.Unlock()
-			w.told(list)
+		r.next()
+		list, err := protocol.ParseListing(text)
+		if err != nil {
+			return words, "malformed", w.broken(err)
+		}
+		words++
+		w.mu.Lock()
+		w.count.Words++
+		w.count.Entries += len(list.Hosts)
+		old := list.Seq < w.seq
+		if old {
+			w.count.Old++
+		}
+		w.mu.Unlock()
+		// Guards against a discovery that is behind the one we came from: the later version stands, not the later arrival.
+		if old {
+			continue
 		}
-		line = line[:0]
+		w.seq, list.Of = list.Seq, w.of
+		w.told(list)
 	}
 }
+
+// broken counts a word that could not be used.
+func (w *Watch) broken(err error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.count.Broken++
+	return err
+}
+
+var errLong = fmt.Errorf("a word of over %d bytes", most)
+
+// pulse is a stream of words, which may stand in several lines each, and of empty lines between them. Guards against one
+// that falls silent, or never ends, in the middle of a word: bytes within a word are no sign of life.
+type pulse struct {
+	r      io.Reader
+	beat   func()
+	left   int
+	inside bool
+}
+
+func (p *pulse) Read(b []byte) (int, error) {
+	if p.left <= 0 {
+		return 0, errLong
+	}
+	n, err := p.r.Read(b[:min(len(b), p.left)])
+	p.left -= n
+	if n > 0 && !p.inside {
+		p.beat()
+		p.inside = len(bytes.TrimSpace(b[:n])) > 0
+	}
+	return n, err
+}
+
+// next begins another word.
+func (p *pulse) next() {
+	p.left, p.inside = most, false
+	p.beat()
+}
--- a/internal/transport/watch/watch_test.go
+++ b/internal/transport/watch/watch_test.go
@@ -1,11 +1,14 @@
 package watch
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -86,3 +89,239 @@
 		t.Fatal("went on after Close")
 	}
 }
+
+// discovery is one by the test's hand: each watch that begins is a script's to serve.
+type discovery struct {
+	*testing.T
+	w     *Watch
+	begun chan *served
+	told  chan protocol.Listing
+}
+
+// served is one watch that has begun; its handler does what the test says.
+type served struct {
+	asked string
+	do    chan func(w http.ResponseWriter) (end bool)
+	gone  <-chan struct{}
+}
+
+func (s *served) then(do func(w http.ResponseWriter) (end bool)) {
+	select {
+	case s.do <- do:
+	case <-s.gone:
+	}
+}
+
+func (s *served) say(text string) {
+	s.then(func(w http.ResponseWriter) bool {
+		io.WriteString(w, text)
+		w.(http.Flusher).Flush()
+		return false
+	})
+}
+
+func (s *served) end() { s.then(func(http.ResponseWriter) bool { return true }) }
+
+// reset ends the connection by a reset.
+func (s *served) reset() {
+	s.then(func(w http.ResponseWriter) bool {
+		if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+		return true
+	})
+}
+
+func follow(t *testing.T, known protocol.Listing) *discovery {
+	d := &discovery{T: t, begun: make(chan *served, 9), told: make(chan protocol.Listing, 99)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d.w = New(d.serve(), known, time.Millisecond, log, func(l protocol.Listing) { d.told <- l }, func() {})
+	d.w.beat = 200 * time.Millisecond
+	t.Cleanup(d.w.Close)
+	return d
+}
+
+// serve starts one more address.
+func (d *discovery) serve() (addr string) {
+	over := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		v := &served{r.URL.RawQuery, make(chan func(http.ResponseWriter) bool), r.Context().Done()}
+		w.(http.Flusher).Flush()
+		select {
+		case d.begun <- v:
+		case <-over:
+			return
+		}
+		for {
+			select {
+			case do := <-v.do:
+				if do(w) {
+					return
+				}
+			case <-r.Context().Done():
+				return
+			case <-over:
+				return
+			}
+		}
+	}))
+	d.Cleanup(func() { close(over); s.Close() })
+	return s.Listener.Addr().String()
+}
+
+const patience = 20 * time.Second
+
+func (d *discovery) next(from int) *served {
+	d.Helper()
+	select {
+	case s := <-d.begun:
+		if s.asked != fmt.Sprintf("follow=1&since=%d", from) {
+			d.Fatalf("watches with %s, wanted from %d", s.asked, from)
+		}
+		return s
+	case <-time.After(patience):
+		d.Fatal("no watch begins")
+	}
+	return nil
+}
+
+func (d *discovery) hears(seq int64, hosts int) protocol.Listing {
+	d.Helper()
+	select {
+	case l := <-d.told:
+		if l.Seq != seq || len(l.Hosts) != hosts {
+			d.Fatalf("told %+v, wanted %d with %d hosts", l, seq, hosts)
+		}
+		return l
+	case <-time.After(patience):
+		d.Fatalf("not told %d", seq)
+	}
+	return protocol.Listing{}
+}
+
+func word(seq int, whole bool, hosts ...string) string {
+	var b []string
+	for i, h := range hosts {
+		b = append(b, fmt.Sprintf(`{"host":%q,"dial":"x:%d","site":"a","block":0,"health":"active"}`, h, i))
+	}
+	return fmt.Sprintf(`{"seq":%d,"whole":%t,"hosts":[%s]}`, seq, whole, strings.Join(b, ","))
+}
+
+// TestIndentedLists: a word may stand in several lines, with heartbeats before and behind it, and two may share one.
+func TestIndentedLists(t *testing.T) {
+	d := follow(t, protocol.Listing{Seq: 7})
+	d.w.Start()
+	s := d.next(7)
+	var indented bytes.Buffer
+	json.Indent(&indented, []byte(word(8, true, "a", "b")), "  ", "\t")
+	s.say("\n\n  " + indented.String() + "\n\n")
+	d.hears(8, 2)
+	s.say(word(9, false, "a") + word(10, false, "b") + "\n")
+	d.hears(9, 1)
+	d.hears(10, 1)
+	if c := d.w.Counts(); c.Watches != 1 || c.Broken != 0 {
+		t.Fatalf("%+v", c)
+	}
+}
+
+// TestCutWords: a watch that falls silent, is reset or goes on without end in the middle of a word, or says what is none, is
+// begun anew from the last whole one; nothing of the half is told.
+func TestCutWords(t *testing.T) {
+	half := word(9, false, "a")
+	half = half[:len(half)-5]
+	for how, ends := range map[string]func(s *served){
+		"silent": func(s *served) { s.say(half) },
+		"reset":  func(s *served) { s.say(half); s.reset() },
+		"ended":  func(s *served) { s.say(half); s.end() },
+		"spoilt": func(s *served) { s.say(half + "]]]\n") },
+		"none":   func(s *served) { s.say("\x00\xff\n") },
+		"number": func(s *served) { s.say("7\n") },
+		"host":   func(s *served) { s.say(word(9, true, "a", "")) },
+		"drips": func(s *served) {
+			s.say(half)
+			for {
+				select {
+				case <-s.gone:
+					return
+				case <-time.After(5 * time.Millisecond):
+					s.say(" ")
+				}
+			}
+		},
+	} {
+		t.Run(how, func(t *testing.T) {
+			d := follow(t, protocol.Listing{Seq: 7})
+			d.w.Start()
+			s := d.next(7)
+			s.say(word(8, false, "a"))
+			d.hears(8, 1)
+			go ends(s)
+			d.next(8).say(word(9, false, "a"))
+			d.hears(9, 1)
+		})
+	}
+}
+
+// TestLongWord: a word without end is bounded in bytes, too.
+func TestLongWord(t *testing.T) {
+	p := &pulse{r: endless{}, beat: func() {}, left: 1000}
+	if n, err := io.Copy(io.Discard, p); n != 1000 || err != errLong {
+		t.Fatal(n, err)
+	}
+}
+
+type endless struct{}
+
+func (endless) Read(b []byte) (int, error) { return copy(b, strings.Repeat("x", 700)), nil }
+
+// TestOlderVersion: after a move to a discovery that is behind, what it says of versions before the one in hand is not told,
+// in changes or whole; the watch goes on and tells what comes after.
+func TestOlderVersion(t *testing.T) {
+	d := follow(t, protocol.Listing{Seq: 7})
+	d.w.Start()
+	d.next(7).say(word(41, false, "a"))
+	d.hears(41, 1)
+	d.w.Move(d.serve())
+	s := d.next(41)
+	s.say(word(39, true, "a", "b") + word(40, false, "b") + word(41, true, "a") + word(42, false, "b"))
+	d.hears(41, 1)
+	d.hears(42, 1)
+	if c := d.w.Counts(); c.Watches != 2 || c.Old != 2 {
+		t.Fatalf("%+v", c)
+	}
+}
+
+// TestWordsAcrossAMove: a word is being told as the watch goes on from another list. It says which list it is of, and the
+// next one is of the other, from the version that belongs to it.
+func TestWordsAcrossAMove(t *testing.T) {
+	d := follow(t, protocol.Listing{Seq: 7})
+	in, on := make(chan struct{}), make(chan struct{})
+	d.w.told = func(l protocol.Listing) {
+		if l.Seq == 50 {
+			close(in)
+			<-on
+		}
+		d.told <- l
+	}
+	d.w.Start()
+	d.next(7).say(word(50, false, "a") + word(51, false, "a"))
+	<-in
+	d.w.Rewind(d.serve(), protocol.Listing{Seq: 12, Of: 1})
+	close(on)
+	if l := d.hears(50, 1); l.Of != 0 {
+		t.Fatalf("%+v", l)
+	}
+	d.next(12).say(word(13, false, "b"))
+	for l := range d.told {
+		if l.Seq == 13 {
+			if l.Of != 1 {
+				t.Fatalf("%+v", l)
+			}
+			break
+		} else if l.Of != 0 {
+			t.Fatalf("%+v", l)
+		}
+	}
+}
