--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -327,6 +327,9 @@
 // late is how long new connections may go on coming after SIGTERM, by the protocol's page.
 const late = 700 * time.Millisecond
 
+// slack is by how much every time limit is longer on sockets, by the protocol's page.
+const slack = 50 * time.Millisecond
+
 // spare is the share of the memory limit left to what the Go runtime does not count.
 const spare = 0.125
 
@@ -609,7 +612,7 @@
 // stated are the limits that the settings put on connections to nodes.
 func stated(b *protocol.Boot, tick time.Duration) nodes.Limits {
 	return nodes.Limits{Streams: b.Streams, Connect: b.Connect, Idle: b.Idle, Longest: b.Longest,
-		Cancel: b.Terms.MayCancel, Pause: tick}
+		Cancel: b.Terms.MayCancel, Pause: tick, Stale: max(slack-tick, tick)}
 }
 
 // limit applies what can change while the program runs.
--- a/internal/routing/crossing_test.go
+++ b/internal/routing/crossing_test.go
@@ -174,3 +174,35 @@
 		t.Fatal("a word of the list in force changes nothing")
 	}
 }
+
+// TestWindowPasses: a part of a tokened type may have run, its repeat is decided on and waits for a handshake, and the window
+// in which repeats are dropped passes meanwhile. It never goes out, and its search gets its final answer.
+func TestWindowPasses(t *testing.T) {
+	g := newRig(t, `"once","effect":"non_idempotent"`, `"once","effect":"idempotency_key"`)
+	free := g.gate.Hold("n2")
+	g.r.Listed(g.list(balance.Active, balance.Gone))
+	id, got := g.ask(context.Background(), "once", "90000m")
+	w := g.frames(id)
+	began := time.Now()
+	g.r.Listed(g.list(balance.Active, balance.Active))
+	for s := range w {
+		w[s].Let()
+		says([]string{"fault", "hit"}[s])(w[s], id, s)
+	}
+	for g.r.Counts().Sent < 3 { // the repeat
+	}
+	for time.Since(began) < time.Second { // the window, from before its first frame was there
+		time.Sleep(time.Millisecond)
+	}
+	g.fleet.Probe("n2", func(bool) {}) // behind it
+	free()
+	for w := wait(g, "a write", g.gate.Writes); w.Addr != "n2"; w = wait(g, "a write", g.gate.Writes) {
+		w.Let()
+	}
+	if g.gate.InHand("A" + id + ".0") {
+		t.Fatal("the repeat went out after the window")
+	}
+	if s := wait(g, "the answer", got); s != 503 {
+		t.Fatalf("status %d", s)
+	}
+}
--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"brackenfront/balance"
 	"brackenfront/internal/protocol"
 	"brackenfront/internal/transport/parts"
 )
@@ -286,6 +287,8 @@
 			return code, nil
 		}
 		buf, marks = buf[:0], marks[:0]
+		var late []*held
+		now, bound := time.Now(), f.limits().Stale
 		for _, o := range c.queue {
 			switch {
 			case o.call != nil:
@@ -293,8 +296,16 @@
 				var parts []*held
 				for i := range o.call.parts {
 					p := &o.call.parts[i]
-					if p.conn != c || !p.Leave.Take() {
-						continue // given up, or its search ended, before it went out: it never runs
+					if p.conn != c {
+						continue // given up before it went out: it never runs
+					}
+					if p.stale(now, bound) {
+						c.drop(p)
+						late = append(late, p)
+						continue
+					}
+					if !p.Leave.Take() {
+						continue // its search has ended
 					}
 					c.parts[p.ID] = p
 					c.hand = append(c.hand, p)
@@ -322,6 +333,9 @@
 		c.writes++
 		c.rearm()
 		f.mu.Unlock()
+		for _, p := range late {
+			p.End(protocol.Ended{ID: p.ID, How: balance.Moot})
+		}
 		if len(buf) == 0 {
 			continue
 		}
--- a/internal/transport/nodes/fleet.go
+++ b/internal/transport/nodes/fleet.go
@@ -24,6 +24,7 @@
 	Longest time.Duration // the longest that any part is waited for
 	Cancel  bool          // nodes may be told that a part is given up
 	Pause   time.Duration // before dialling again when no descriptor can be had
+	Stale   time.Duration // that a further sub-request of a part may wait in line, before it is decided on anew; 0 for any
 
 	Dial parts.Dial // by TCP if nil
 }
@@ -140,7 +141,7 @@
 func (f *Fleet) Ask(addr string, ps []*parts.Part) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	k := &call{parts: make([]held, 0, len(ps))}
+	k := &call{parts: make([]held, 0, len(ps)), asked: time.Now()}
 	for _, p := range ps {
 		// Guards against sending what ended within the turn that meant to send it.
 		if !p.Void && !p.Leave.Over() {
