--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -40,7 +40,7 @@
 			told(log, "counters: hall", one)
 		}
 	}
-	log.WithFields(logrus.Fields{"watches": d.Watches, "words": d.Words, "entries": d.Entries, "broken": d.Broken,
+	log.WithFields(logrus.Fields{"watches": d.Watches, "updates": d.Updates, "entries": d.Entries, "broken": d.Broken,
 		"old": d.Old, "astray": c.Astray, "lists": c.Lists, "restated": c.Restated}).Info("counters: discovery")
 }
 
--- a/internal/protocol/listing.go
+++ b/internal/protocol/listing.go
@@ -7,7 +7,7 @@
 	"brackenfront/balance"
 )
 
-// Listing is one word of discovery: the whole list, or the entries that changed.
+// Listing is one update of discovery: the whole list, or the entries that changed.
 type Listing struct {
 	Seq   int64
 	Whole bool
@@ -27,7 +27,7 @@
 var standings = map[string]balance.Standing{
 	"active": balance.Active, "leaving": balance.Draining, "left": balance.Gone}
 
-// ParseListing reads one JSON object of discovery. A word with any unusable entry is refused
+// ParseListing reads one JSON object of discovery. An update with any unusable entry is refused
 // as a whole: half a list would pass for nodes that are gone.
 func ParseListing(raw []byte) (l Listing, err error) {
 	var v struct {
--- a/internal/routing/crossing_test.go
+++ b/internal/routing/crossing_test.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// TestAstray: a word of the former list comes after the deployment has taken another shape, by which its nodes would hold
+// TestAstray: an update of the former list comes after the deployment has taken another shape, by which its nodes would hold
 // other shards. It changes nothing; the next one of the list in force does.
 func TestAstray(t *testing.T) {
 	g := newRig(t)
@@ -171,7 +171,7 @@
 	known.Seq, known.Hosts[2].Standing = 2, balance.Gone
 	g.r.Listed(known)
 	if active() {
-		t.Fatal("a word of the list in force changes nothing")
+		t.Fatal("an update of the list in force changes nothing")
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -76,7 +76,7 @@
 	Turns, Calls                                          int
 	Probed                                                int
 	Lists, Restated                                       int
-	Astray                                                int // words of a list that is no longer the one in force
+	Astray                                                int // updates of a list that is no longer the one in force
 	Mute, Unlike                                          int // entries that speak Flight where that is off; values that fit no others
 }
 
@@ -107,7 +107,7 @@
 
 // Restate puts other settings in force, or none of them: what is in hand ends by those it came under, what comes
 // from now on goes by the new ones. known is the list that belongs to them, taken in where the shards lie otherwise; from
-// then on words count that say by Of that they are of that list.
+// then on updates count that say by Of that they are of that list.
 // What only a restart puts in force (Deployment.Fixed) has to be the same.
 func (r *Router) Restate(d *protocol.Deployment, known protocol.Listing) error {
 	told := make(chan error, 1)
@@ -214,7 +214,7 @@
 // Ready says whether there are nodes to send to.
 func (r *Router) Ready() bool { return r.ready.Load() }
 
-// Listed takes in a word of discovery.
+// Listed takes in an update of discovery.
 func (r *Router) Listed(l protocol.Listing) { r.post(func() { r.list(l) }) }
 
 // Unlisted hears that the list could not be had.
@@ -355,7 +355,7 @@
 func (r *Router) clock() float64 { return r.epoch + time.Since(r.start).Seconds() }
 
 func (r *Router) list(l protocol.Listing) {
-	// Guards against a word that was on its way as the deployment took another shape: its nodes hold other shards.
+	// Guards against an update that was on its way as the deployment took another shape: its nodes hold other shards.
 	if l.Of != r.of {
 		r.count.Astray++
 		return
--- a/internal/transport/watch/watch.go
+++ b/internal/transport/watch/watch.go
@@ -25,7 +25,7 @@
 	missing   = 2
 )
 
-// most bounds one word of discovery, in bytes; how long one may take is bounded as silence is.
+// most bounds one update of discovery, in bytes; how long one may take is bounded as silence is.
 const most = 16 << 20
 
 // Watch follows discovery until it is stopped.
@@ -50,11 +50,11 @@
 
 // Counts are sums since the start.
 type Counts struct {
-	Watches, Words, Entries, Broken int
-	Old                             int // words of a version before the one in hand
+	Watches, Updates, Entries, Broken int
+	Old                               int // updates of a version before the one in hand
 }
 
-// New follows the list from known on. told gets every word in order, lost hears that a watch
+// New follows the list from known on. told gets every update in order, lost hears that a watch
 // ended; both may wait. Nothing happens before Start.
 func New(addr string, known protocol.Listing, wait time.Duration, log *logrus.Logger,
 	told func(protocol.Listing), lost func()) *Watch {
@@ -80,7 +80,7 @@
 }
 
 // Move goes on at another address, at once and from the version in hand: what changed while no watch
-// was open comes with the first word of the next.
+// was open comes with the first update of the next.
 func (w *Watch) Move(addr string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -90,7 +90,7 @@
 	}
 }
 
-// Rewind goes on from another list, at an address that may be another: what is told next is what changed since then. A word
+// Rewind goes on from another list, at an address that may be another: what is told next is what changed since then. An update
 // of the list before may still be told; it says by Of that it is one.
 func (w *Watch) Rewind(addr string, known protocol.Listing) {
 	w.mu.Lock()
@@ -131,12 +131,12 @@
 		w.turn = cancel
 		w.mu.Unlock()
 		began := time.Now()
-		words, code, err := w.follow(turn, addr)
+		updates, code, err := w.follow(turn, addr)
 		if turn.Err() != nil && ctx.Err() == nil {
 			code, err = "moved", nil
 		}
 		entry := w.log.WithField("side", "discovery").WithField("peer", addr).WithField("code", code).
-			WithField("words", words).WithField("ms", time.Since(began).Milliseconds())
+			WithField("updates", updates).WithField("ms", time.Since(began).Milliseconds())
 		if err != nil {
 			entry = entry.WithError(err)
 		}
@@ -165,7 +165,7 @@
 }
 
 // follow holds one watch until it ends.
-func (w *Watch) follow(ctx context.Context, addr string) (words int, code string, err error) {
+func (w *Watch) follow(ctx context.Context, addr string) (updates int, code string, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	url := fmt.Sprintf("http://%s/v1/servers?follow=1&since=%d", addr, w.seq)
@@ -197,22 +197,22 @@
 			var syntax *json.SyntaxError
 			switch {
 			case ctx.Err() != nil:
-				return words, "silent", nil
+				return updates, "silent", nil
 			case err == io.EOF:
-				return words, "ended", nil
+				return updates, "ended", nil
 			case err == errLong || errors.As(err, &syntax):
-				return words, "malformed", w.broken(err)
+				return updates, "malformed", w.broken(err)
 			}
-			return words, "broken", err
+			return updates, "broken", err
 		}
 		r.next()
 		list, err := protocol.ParseListing(text)
 		if err != nil {
-			return words, "malformed", w.broken(err)
+			return updates, "malformed", w.broken(err)
 		}
-		words++
+		updates++
 		w.mu.Lock()
-		w.count.Words++
+		w.count.Updates++
 		w.count.Entries += len(list.Hosts)
 		old := list.Seq < w.seq
 		if old {
@@ -228,7 +228,7 @@
 	}
 }
 
-// broken counts a word that could not be used.
+// broken counts an update that could not be used.
 func (w *Watch) broken(err error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -236,10 +236,10 @@
 	return err
 }
 
-var errLong = fmt.Errorf("a word of over %d bytes", most)
+var errLong = fmt.Errorf("an update of over %d bytes", most)
 
-// pulse is a stream of words, which may stand in several lines each, and of empty lines between them. Guards against one
-// that falls silent, or never ends, in the middle of a word: bytes within a word are no sign of life.
+// pulse is a stream of updates, which may stand in several lines each, and of empty lines between them. Guards against one
+// that falls silent, or never ends, in the middle of an update: bytes within an update are no sign of life.
 type pulse struct {
 	r      io.Reader
 	beat   func()
@@ -260,7 +260,7 @@
 	return n, err
 }
 
-// next begins another word.
+// next begins another update.
 func (p *pulse) next() {
 	p.left, p.inside = most, false
 	p.beat()
--- a/internal/transport/watch/watch_test.go
+++ b/internal/transport/watch/watch_test.go
@@ -58,7 +58,7 @@
 		t.Fatal(q)
 	}
 	w.Close()
-	if c := w.Counts(); c.Words != 8 || c.Watches < 2 {
+	if c := w.Counts(); c.Updates != 8 || c.Watches < 2 {
 		t.Fatalf("%+v", c)
 	}
 }
@@ -201,7 +201,7 @@
 	return protocol.Listing{}
 }
 
-func word(seq int, whole bool, hosts ...string) string {
+func update(seq int, whole bool, hosts ...string) string {
 	var b []string
 	for i, h := range hosts {
 		b = append(b, fmt.Sprintf(`{"host":%q,"dial":"x:%d","site":"a","block":0,"health":"active"}`, h, i))
@@ -209,16 +209,16 @@
 	return fmt.Sprintf(`{"seq":%d,"whole":%t,"hosts":[%s]}`, seq, whole, strings.Join(b, ","))
 }
 
-// TestIndentedLists: a word may stand in several lines, with heartbeats before and behind it, and two may share one.
+// TestIndentedLists: an update may stand in several lines, with heartbeats before and behind it, and two may share one.
 func TestIndentedLists(t *testing.T) {
 	d := follow(t, protocol.Listing{Seq: 7})
 	d.w.Start()
 	s := d.next(7)
 	var indented bytes.Buffer
-	json.Indent(&indented, []byte(word(8, true, "a", "b")), "  ", "\t")
+	json.Indent(&indented, []byte(update(8, true, "a", "b")), "  ", "\t")
 	s.say("\n\n  " + indented.String() + "\n\n")
 	d.hears(8, 2)
-	s.say(word(9, false, "a") + word(10, false, "b") + "\n")
+	s.say(update(9, false, "a") + update(10, false, "b") + "\n")
 	d.hears(9, 1)
 	d.hears(10, 1)
 	if c := d.w.Counts(); c.Watches != 1 || c.Broken != 0 {
@@ -226,10 +226,10 @@
 	}
 }
 
-// TestCutWords: a watch that falls silent, is reset or goes on without end in the middle of a word, or says what is none, is
+// TestCutUpdates: a watch that falls silent, is reset or goes on without end in the middle of an update, or says what is none, is
 // begun anew from the last whole one; nothing of the half is told.
-func TestCutWords(t *testing.T) {
-	half := word(9, false, "a")
+func TestCutUpdates(t *testing.T) {
+	half := update(9, false, "a")
 	half = half[:len(half)-5]
 	for how, ends := range map[string]func(s *served){
 		"silent": func(s *served) { s.say(half) },
@@ -238,7 +238,7 @@
 		"spoilt": func(s *served) { s.say(half + "]]]\n") },
 		"none":   func(s *served) { s.say("\x00\xff\n") },
 		"number": func(s *served) { s.say("7\n") },
-		"host":   func(s *served) { s.say(word(9, true, "a", "")) },
+		"host":   func(s *served) { s.say(update(9, true, "a", "")) },
 		"drips": func(s *served) {
 			s.say(half)
 			for {
@@ -255,17 +255,17 @@
 			d := follow(t, protocol.Listing{Seq: 7})
 			d.w.Start()
 			s := d.next(7)
-			s.say(word(8, false, "a"))
+			s.say(update(8, false, "a"))
 			d.hears(8, 1)
 			go ends(s)
-			d.next(8).say(word(9, false, "a"))
+			d.next(8).say(update(9, false, "a"))
 			d.hears(9, 1)
 		})
 	}
 }
 
-// TestLongWord: a word without end is bounded in bytes, too.
-func TestLongWord(t *testing.T) {
+// TestLongUpdate: an update without end is bounded in bytes, too.
+func TestLongUpdate(t *testing.T) {
 	p := &pulse{r: endless{}, beat: func() {}, left: 1000}
 	if n, err := io.Copy(io.Discard, p); n != 1000 || err != errLong {
 		t.Fatal(n, err)
@@ -281,11 +281,11 @@
 func TestOlderVersion(t *testing.T) {
 	d := follow(t, protocol.Listing{Seq: 7})
 	d.w.Start()
-	d.next(7).say(word(41, false, "a"))
+	d.next(7).say(update(41, false, "a"))
 	d.hears(41, 1)
 	d.w.Move(d.serve())
 	s := d.next(41)
-	s.say(word(39, true, "a", "b") + word(40, false, "b") + word(41, true, "a") + word(42, false, "b"))
+	s.say(update(39, true, "a", "b") + update(40, false, "b") + update(41, true, "a") + update(42, false, "b"))
 	d.hears(41, 1)
 	d.hears(42, 1)
 	if c := d.w.Counts(); c.Watches != 2 || c.Old != 2 {
@@ -293,9 +293,9 @@
 	}
 }
 
-// TestWordsAcrossAMove: a word is being told as the watch goes on from another list. It says which list it is of, and the
+// TestUpdatesAcrossAMove: an update is being told as the watch goes on from another list. It says which list it is of, and the
 // next one is of the other, from the version that belongs to it.
-func TestWordsAcrossAMove(t *testing.T) {
+func TestUpdatesAcrossAMove(t *testing.T) {
 	d := follow(t, protocol.Listing{Seq: 7})
 	in, on := make(chan struct{}), make(chan struct{})
 	d.w.told = func(l protocol.Listing) {
@@ -306,14 +306,14 @@
 		d.told <- l
 	}
 	d.w.Start()
-	d.next(7).say(word(50, false, "a") + word(51, false, "a"))
+	d.next(7).say(update(50, false, "a") + update(51, false, "a"))
 	<-in
 	d.w.Rewind(d.serve(), protocol.Listing{Seq: 12, Of: 1})
 	close(on)
 	if l := d.hears(50, 1); l.Of != 0 {
 		t.Fatalf("%+v", l)
 	}
-	d.next(12).say(word(13, false, "b"))
+	d.next(12).say(update(13, false, "b"))
 	for l := range d.told {
 		if l.Seq == 13 {
 			if l.Of != 1 {
