--- a/cmd/brackenfront/crossing_test.go
+++ b/cmd/brackenfront/crossing_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -148,34 +151,97 @@
 }
 
 // TestPause: clients ask and leave while the process stands still, on connections that rest, on new ones, and behind bytes
-// of a next request. Nothing is sent on for them, in whatever order their requests and their ends are read.
+// of a next request. Nothing is sent on for them, in whatever order their requests and their ends are read, also where the
+// process goes on with a drain or with other settings.
 func TestPause(t *testing.T) {
-	p := serving(t)
-	for range 10 {
-		var rest []net.Conn
-		for range 5 {
-			c := p.raw(p.request("all", search(0)))
-			if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != 200 {
-				t.Fatal(res, err)
+	for _, with := range []struct {
+		signal syscall.Signal
+		rounds int
+	}{{0, 10}, {syscall.SIGHUP, 5}, {syscall.SIGTERM, 1}, {syscall.SIGTERM, 1}, {syscall.SIGTERM, 1}} {
+		p := serving(t)
+		for round := range with.rounds {
+			var rest []net.Conn
+			for range 5 {
+				c := p.raw(p.request("all", search(0)))
+				if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != 200 {
+					t.Fatal(res, err)
+				}
+				rest = append(rest, c)
 			}
-			rest = append(rest, c)
-		}
-		before, _ := p.got()
-		p.cmd.Process.Signal(syscall.SIGSTOP)
-		for i, c := range rest {
-			p.request("all", search(1)).Write(c)
-			if i%2 == 1 {
-				io.WriteString(c, "POST /all HT")
+			before, _ := p.got()
+			p.cmd.Process.Signal(syscall.SIGSTOP)
+			for i, c := range rest {
+				p.request("all", search(1)).Write(c)
+				if i%2 == 1 {
+					io.WriteString(c, "POST /all HT")
+				}
+				c.Close()
+				p.raw(p.request("all", search(1))).Close()
+			}
+			if with.signal == syscall.SIGHUP {
+				p.rewrite(func(c string) string { // another layout, and back
+					if round%2 == 0 {
+						return strings.Replace(c, `"slices":4`, `"slices":6`, 1)
+					}
+					return strings.Replace(c, `"slices":6`, `"slices":4`, 1)
+				})
+			}
+			if with.signal != 0 {
+				p.cmd.Process.Signal(with.signal)
+			}
+			p.cmd.Process.Signal(syscall.SIGCONT)
+			if with.signal == syscall.SIGTERM {
+				p.ends()
+			} else {
+				p.whole("all", []int{0}, 0)
+				before = append(before, asked{})
+			}
+			if after, _ := p.got(); len(after) != len(before) {
+				t.Fatalf("%s: %d sent on for clients that had left", with.signal, len(after)-len(before))
 			}
-			c.Close()
-			p.raw(p.request("all", search(1))).Close()
 		}
-		p.cmd.Process.Signal(syscall.SIGCONT)
-		p.whole("all", []int{0}, 0)
-		if after, _ := p.got(); len(after) != len(before)+1 {
-			t.Fatalf("%d sent on for clients that had left", len(after)-len(before)-1)
+		if with.signal != syscall.SIGTERM {
+			p.stop()
 		}
 	}
+}
+
+// TestTwoSwitches: the file changes again, and SIGHUP comes again, while the program still reads the file of the first one.
+// Both are put in force, in their order.
+func TestTwoSwitches(t *testing.T) {
+	p := serving(t)
+	var config string
+	p.rewrite(func(c string) string { config = c; return c })
+	first, second := p.discovery(), p.discovery()
+	with := func(addr string, slices int) string {
+		c := regexp.MustCompile(`"discovery":"127[^"]+"`).ReplaceAllString(config, `"discovery":"`+addr+`"`)
+		return strings.Replace(c, `"slices":4`, fmt.Sprintf(`"slices":%d`, slices), 1)
+	}
+	os.Remove(p.config)
+	if err := syscall.Mkfifo(p.config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	pipe, err := os.OpenFile(p.config, os.O_WRONLY, 0) // once the program reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.Remove(p.config)
+	p.rewrite(func(string) string { return with(second, 8) })
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	io.WriteString(pipe, with(first, 6))
+	pipe.Close()
+	p.line("configuration read again", first, "switched=true")
+	p.line("configuration read again", second, "switched=true")
+	p.until(t, "the order", func() bool {
+		at := func(addr string) int {
+			return slices.IndexFunc(p.lines, func(l string) bool {
+				return strings.Contains(l, "configuration read again") && strings.Contains(l, addr)
+			})
+		}
+		return at(first) < at(second)
+	})
+	p.whole("all", []int{7}, 7)
 	p.stop()
 }
 
--- a/internal/routing/crossing_test.go
+++ b/internal/routing/crossing_test.go
@@ -206,3 +206,47 @@
 		t.Fatalf("status %d", s)
 	}
 }
+
+// TestOutAcrossAMove: a part is out as the list says that its node is at another address, or that another node has its
+// address. What comes from the old place still counts; if that place breaks, the part goes elsewhere and never there again.
+func TestOutAcrossAMove(t *testing.T) {
+	for _, how := range []string{"moved", "replaced"} {
+		for _, end := range []string{"hit", "fault", "reset"} {
+			g := newRig(t)
+			g.r.Listed(g.list(balance.Active, balance.Gone))
+			id, got := g.ask(context.Background(), "all", "90000m")
+			w := g.frames(id)
+			for s := range w {
+				w[s].Let()
+			}
+			says("hit")(w[1], id, 1)
+			l := g.list(balance.Active, balance.Active)
+			if l.Whole, l.Hosts[0].Dial = false, "elsewhere"; how == "replaced" {
+				l.Hosts = append(l.Hosts, protocol.Host{Name: "n9", Dial: "n0", Zone: "a", Cell: 1})
+			}
+			g.r.Listed(l)
+			for n := g.r.Counts().Lists; n < 3; n = g.r.Counts().Lists {
+			}
+			switch end {
+			case "reset":
+				w[0].Say([]byte("\xff\xff\xff\xff\xff")) // the connection is dropped for it
+			default:
+				says(end)(w[0], id, 0)
+			}
+			if end != "hit" {
+				again := wait(g, "the part elsewhere", g.gate.Writes)
+				if again.Addr == "n0" || !strings.Contains(again.Text, "A"+id+".0 ") {
+					t.Fatalf("%s, %s: %q to %s", how, end, again.Text, again.Addr)
+				}
+				again.Let()
+				says("hit")(again, id, 0)
+			}
+			if s := wait(g, "the answer", got); s != 200 {
+				t.Fatalf("%s, %s: status %d", how, end, s)
+			}
+			if n := g.gate.Through("n0", "A"+id+".0"); n != 1 {
+				t.Fatalf("%s, %s: %d times to the old place", how, end, n)
+			}
+		}
+	}
+}
