Read once more: connections shut by us are counted as leaving in one place

Found by reading: Drain shut unused connections that nobody counted as leaving, and closed() took them off that count all the same, so it fell below zero and new connections during a drain closed others for want of room that was there. The count stood in two callers of shutIf and in none of Drain's; it is shutIf's own now.

--- a/internal/transport/clients/conn.go
+++ b/internal/transport/clients/conn.go
@@ -33,7 +33,7 @@
 	idleAt  time.Time
 	served  int
 	halted  bool   // the server broke off a read of its own
-	leaving bool   // closed by us while unused
+	leaving bool   // shut by us while no request was on it
 	begun   bool   // bytes of a request have come that is not answered
 	inHand  bool   // a request has been read up to its body at least, and is not answered
 	shut    bool   // our sending side; nothing that comes from now on is a request
@@ -205,17 +205,21 @@
 	if c.shut || c.begun || c.code != "" || !which() {
 		return false
 	}
-	c.code = code
+	c.code, c.leaving = code, true
+	c.s.leaving.Add(1)
 	if c.idle {
-		c.idle, c.leaving = false, true
+		c.idle = false
 		c.s.unused.Add(-1)
 	}
 	c.finish()
 	return true
 }
 
-// finish shuts our sending side, and has whoever reads look up; the lock is held.
+// finish shuts our sending side, once, and has whoever reads look up; the lock is held.
 func (c *conn) finish() {
+	if c.shut {
+		return
+	}
 	c.shut = true
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		w.CloseWrite()
@@ -227,9 +231,7 @@
 func (c *conn) CloseWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.shut {
-		c.finish()
-	}
+	c.finish()
 	return nil
 }
 
@@ -265,9 +267,7 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	gone := c.end != nil || c.code == "left" || c.code == "reset" || c.code == "broken"
-	if !c.shut {
-		c.finish()
-	}
+	c.finish()
 	c.mu.Unlock()
 	if !gone {
 		c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/transport/clients/crossing_test.go
+++ b/internal/transport/clients/crossing_test.go
@@ -132,6 +132,9 @@
 		if b.Drain(ctx, accept); ctx.Err() != nil {
 			b.Error("the end had to be forced")
 		}
+		if n, u := b.leaving.Load(), b.unused.Load(); n != 0 || u != 0 {
+			b.Errorf("with all connections ended, %d count as leaving and %d as unused", n, u)
+		}
 	}()
 	b.until("the drain", b.draining.Load)
 	return done
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -48,14 +48,14 @@
 	ln      net.Listener
 
 	unused   atomic.Int64 // connections between requests
+	leaving  atomic.Int64 // connections shut by us while no request was on them, and about to go
 	draining atomic.Bool
 	over     chan struct{} // closed when no more connections are accepted
 	gone     chan struct{} // a connection has ended
 
-	mu      sync.Mutex
-	conns   map[*conn]struct{}
-	leaving int // of these, closed by us and about to go
-	count   Counts
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	count Counts
 }
 
 // Counts are sums since the start.
@@ -238,7 +238,7 @@
 	s.conns[c] = struct{}{}
 	s.count.Accepted++
 	s.count.Peak = max(s.count.Peak, len(s.conns))
-	n := len(s.conns) - s.leaving // one on its way out makes room for one
+	n := len(s.conns) - int(s.leaving.Load()) // one on its way out makes room for one
 	s.mu.Unlock()
 	// Guards against running out of descriptors: unused connections go before new ones would fail.
 	if over := n + s.others.Open() - s.limits.Most; over > 0 {
@@ -257,11 +257,8 @@
 	}
 	before := time.Now().Add(-mute)
 	for _, c := range s.all() {
-		if done < most && c.shutIf("mute", func() bool { c.leaving = c.made.Before(before); return c.leaving }) {
+		if done < most && c.shutIf("mute", func() bool { return c.made.Before(before) }) {
 			done++
-			s.mu.Lock()
-			s.leaving++
-			s.mu.Unlock()
 		}
 	}
 	return done
@@ -288,9 +285,6 @@
 			done++
 		}
 	}
-	s.mu.Lock()
-	s.leaving += done
-	s.mu.Unlock()
 	return done
 }
 
@@ -333,7 +327,7 @@
 	c.mu.Lock()
 	code, served := c.code, c.served
 	if held && c.leaving {
-		s.leaving--
+		s.leaving.Add(-1)
 	}
 	if held && c.idle {
 		s.unused.Add(-1)
