--- a/cmd/brackenfront/bounds_test.go
+++ b/cmd/brackenfront/bounds_test.go
@@ -252,10 +252,7 @@
 // TestStreams: a connection carries so many calls, further ones open another.
 func TestStreams(t *testing.T) {
 	p := serving(t, "STREAMS", "1")
-	hold := make(chan struct{})
-	for _, n := range p.nodes {
-		n.note(func() { n.hold = hold })
-	}
+	hold := p.hold()
 	done := make(chan answer)
 	for range 4 {
 		r := p.request("all", search(0))
@@ -389,10 +386,7 @@
 // TestPipelined: an answer in hand is not touched by what its connection brings next, a search or garbage.
 func TestPipelined(t *testing.T) {
 	p := serving(t)
-	hold := make(chan struct{})
-	for _, n := range p.nodes {
-		n.note(func() { n.hold = hold })
-	}
+	hold := p.hold()
 	c := p.raw(p.request("all", search(0)))
 	if err := p.request("all", search(1)).Write(c); err != nil {
 		t.Fatal(err)
--- a/cmd/brackenfront/crossing_test.go
+++ b/cmd/brackenfront/crossing_test.go
@@ -53,10 +53,7 @@
 // TestSecondTerm: SIGTERM that comes again changes nothing: what was taken is answered. Only SIGINT ends a drain.
 func TestSecondTerm(t *testing.T) {
 	p := serving(t)
-	hold := make(chan struct{})
-	for _, n := range p.nodes {
-		n.note(func() { n.hold = hold })
-	}
+	hold := p.hold()
 	got := p.asks(p.request("all", search(0)))
 	p.out(0, 1)
 	p.cmd.Process.Signal(syscall.SIGTERM)
@@ -249,10 +246,7 @@
 // and the client, slow to read, still gets an end and no reset.
 func TestEndsOverUnread(t *testing.T) {
 	p := serving(t)
-	hold := make(chan struct{})
-	for _, n := range p.nodes {
-		n.note(func() { n.hold = hold })
-	}
+	hold := p.hold()
 	c := p.raw(p.request("all", search(0)))
 	p.out(0, 1)
 	io.WriteString(c, strings.Repeat("x", 100<<10))
--- a/cmd/brackenfront/program_test.go
+++ b/cmd/brackenfront/program_test.go
@@ -196,6 +196,15 @@
 // value has what JSON must escape, and what it may leave alone.
 func value(shard int) string { return fmt.Sprintf("v%d \"<é>\"\\\n", shard) }
 
+// hold has every node keep its answers back until the channel is closed.
+func (p *program) hold() chan struct{} {
+	hold := make(chan struct{})
+	for _, n := range p.nodes {
+		n.note(func() { n.hold = hold })
+	}
+	return hold
+}
+
 func (n *node) do(does func(p asked) string) { n.note(func() { n.does = does }) }
 
 func always(how string) func(asked) string { return func(asked) string { return how } }
@@ -653,10 +662,7 @@
 	} else {
 		io.Copy(io.Discard, res.Body)
 	}
-	hold := make(chan struct{})
-	for _, n := range p.nodes {
-		n.note(func() { n.hold = hold })
-	}
+	hold := p.hold()
 	held := p.request("all", search(2))
 	before := make(chan answer)
 	go func() { before <- p.send(held) }()
@@ -681,10 +687,7 @@
 // hand; searches in hand go on, and a file that is wrong changes nothing.
 func TestReload(t *testing.T) {
 	p := serving(t)
-	hold := make(chan struct{})
-	for _, n := range p.nodes {
-		n.note(func() { n.hold = hold })
-	}
+	hold := p.hold()
 	r := p.request("all", search(0))
 	held := make(chan answer)
 	go func() { held <- p.send(r) }()
@@ -771,10 +774,7 @@
 	}
 
 	// In hand across the switch: one that needs all, and one whose second step has no counterpart there.
-	hold := make(chan struct{})
-	for _, n := range p.nodes {
-		n.note(func() { n.hold = hold })
-	}
+	hold := p.hold()
 	held := make(chan answer, 2)
 	for _, kind := range []string{"all", "two"} {
 		r := p.request(kind, search(0, 1))
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -345,11 +345,12 @@
 	apply(log, chosen)
 	// From the start on, and while draining, too: by default it would end the program.
 	// One channel each, as what finds its channel full is dropped: of equal ones no more than one need wait.
-	term, interrupt, hangup, usr := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
-	for c, s := range map[chan os.Signal]os.Signal{term: syscall.SIGTERM, interrupt: syscall.SIGINT, hangup: syscall.SIGHUP,
-		usr: syscall.SIGUSR1} {
+	on := func(s os.Signal) chan os.Signal {
+		c := make(chan os.Signal, 1)
 		signal.Notify(c, s)
+		return c
 	}
+	term, interrupt, hangup, usr := on(syscall.SIGTERM), on(syscall.SIGINT), on(syscall.SIGHUP), on(syscall.SIGUSR1)
 	limit(boot)
 
 	tick := time.Duration(boot.Terms.Tick * float64(time.Second))
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -50,7 +50,6 @@
 	schema []byte // of the current step's tables, by the first that came
 	texts  bool   // the first that came is no table
 	ended  bool
-	sent   bool    // a sub-request has been decided on
 	answer verdict // while the module's call that brought it goes on
 }
 
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -27,7 +27,6 @@
 	if part >= len(ex.search.Parts) {
 		id, extra = id+".load", ex.extra
 	}
-	ex.sent = true
 	p.via = r.via[node]
 	p.sub = &parts.Part{Leave: &ex.leave, ID: id, Shard: p.shard, Extra: extra, Text: ex.search.Text, Until: until, Owner: ex,
 		At: part, Try: q.Tries(part)}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -256,7 +256,8 @@
 // on after a pause of this process, when the turn may come before whoever reads that the client has closed.
 func (r *Router) unwanted() {
 	for _, ex := range r.ids {
-		if !ex.sent && ex.left != nil && ex.left() {
+		sent := slices.ContainsFunc(ex.pieces, func(p *piece) bool { return p.via != nil })
+		if !sent && ex.left != nil && ex.left() {
 			r.gone(ex)
 		}
 	}
