--- a/internal/transport/clients/conn.go
+++ b/internal/transport/clients/conn.go
@@ -5,10 +5,13 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
 	"time"
+
+	"brackenfront/internal/protocol"
 )
 
 // Bounds on what a connection may still cost.
@@ -21,6 +24,7 @@
 
 // conn is a client's connection. It remembers why it ended, and it is where two events may cross that net/http cannot
 // tell apart: a request that comes while we shut the connection, and a client that leaves behind bytes it sent ahead.
+// It also delivers one request at a time, and refuses those whose end cannot be told beyond doubt.
 type conn struct {
 	net.Conn
 	raw  syscall.RawConn // nil where the system cannot be asked
@@ -39,6 +43,8 @@
 	shut    bool   // our sending side; nothing that comes from now on is a request
 	ahead   []byte // what came behind the request in hand
 	end     error  // what came behind that: the client has left
+
+	framing protocol.RequestFraming // of what has been delivered to net/http
 }
 
 // SetReadDeadline guards against taking the server's own break for a slow client: while a search
@@ -72,7 +78,7 @@
 		c.mu.Unlock()
 		n, err = c.attend(b)
 	case len(c.ahead) > 0:
-		n = c.next(b)
+		n, err = c.next(b)
 		c.mu.Unlock()
 	case c.end != nil:
 		err = c.end
@@ -82,7 +88,7 @@
 		n, err = c.Conn.Read(b)
 		if n > 0 {
 			c.mu.Lock()
-			c.began()
+			n, err = c.deliver(b[:n], err)
 			c.mu.Unlock()
 		}
 	}
@@ -92,6 +98,20 @@
 	return n, err
 }
 
+// deliver says how many of the bytes just read net/http may have: those of one request. What came behind it waits until
+// that is answered, so that no byte is taken for a request but where the framing says that one begins. The lock is held.
+func (c *conn) deliver(b []byte, read error) (n int, err error) {
+	c.began()
+	if n, err = c.framing.Accept(b); err != nil {
+		return 0, err // net/http answers a head with 400 for it, a body's reader gets it
+	}
+	if n < len(b) {
+		c.ahead = append(c.ahead, b[n:]...)
+		return n, nil // an error of the connection comes again
+	}
+	return n, read
+}
+
 // began notes that a request has begun to come; the lock is held.
 func (c *conn) began() {
 	if c.begun = true; c.idle {
@@ -100,14 +120,17 @@
 	}
 }
 
-// next gives what came ahead; the lock is held.
-func (c *conn) next(b []byte) int {
-	n := copy(b, c.ahead)
+// next gives what came ahead, as far as one request goes; the lock is held.
+func (c *conn) next(b []byte) (n int, err error) {
+	c.began()
+	if n, err = c.framing.Accept(c.ahead[:min(len(b), len(c.ahead))]); err != nil {
+		return 0, err
+	}
+	copy(b, c.ahead[:n])
 	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
 		c.ahead = nil
 	}
-	c.began()
-	return n
+	return n, nil
 }
 
 // attend waits for the client to leave while its request is in hand. net/http reads one byte for that, and once it has
@@ -125,7 +148,7 @@
 	if err == errFull {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return c.next(b), nil
+		return c.next(b)
 	}
 	return 0, err
 }
@@ -197,6 +220,14 @@
 	return true
 }
 
+// framed says whether a request is the one that was delivered. It guards against a reader of the HTTP library that places
+// a request's end elsewhere.
+func (c *conn) framed(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.framing.Head(r.ContentLength)
+}
+
 // shutIf shuts our sending side if no request has begun to come: the client sees an end, and sends a request that
 // crosses it once more elsewhere.
 func (c *conn) shutIf(code string, which func() bool) bool {
@@ -254,6 +285,8 @@
 			return "idle"
 		}
 		return "slow"
+	case protocol.IsFraming(err):
+		return "framing"
 	case errors.Is(err, io.EOF):
 		return "left"
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -101,6 +101,12 @@
 		if c == nil || !c.take() {
 			panic(http.ErrAbortHandler) // nothing that it asks for may happen, and no answer has a way
 		}
+		if !c.framed(r) {
+			c.why("framing")
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
 		if r.URL.Path == "/healthz" {
 			if s.last(w.Header()); !ready() {
 				w.WriteHeader(http.StatusServiceUnavailable)
