--- a/internal/protocol/framing.go
+++ b/internal/protocol/framing.go
@@ -110,6 +110,12 @@
 			n += f.skip(len(b) - n)
 			continue
 		}
+		if f.state == inFieldValue && f.field == otherField {
+			n += plainBytes(b[n:])
+			if n == len(b) {
+				break
+			}
+		}
 		if err := f.next(b[n]); err != nil {
 			f.err = err
 			return 0, err
@@ -450,6 +456,16 @@
 // fieldByte says whether a byte may stand in a field's value: all but control bytes, a tab aside.
 func fieldByte(c byte) bool { return c >= ' ' && c != 0x7f || c == '\t' }
 
+// plainBytes counts the bytes up to one that may not stand in a field's value, or ends it.
+func plainBytes(b []byte) int {
+	for i, c := range b {
+		if !fieldByte(c) {
+			return i
+		}
+	}
+	return len(b)
+}
+
 // tokenByte says whether a byte may stand in a token (RFC 9110, section 5.6.2).
 func tokenByte(c byte) bool {
 	if c >= '0' && c <= '9' || c|0x20 >= 'a' && c|0x20 <= 'z' {
