--- a/internal/protocol/framing.go
+++ b/internal/protocol/framing.go
@@ -128,6 +128,12 @@
 	return n, nil
 }
 
+// Ended says whether the request that came last has come whole.
+func (f *RequestFraming) Ended() bool { return f.state == atEnd }
+
+// Err is the error that ended the connection's requests, if one did.
+func (f *RequestFraming) Err() error { return f.err }
+
 // Head says, once for each request, that its head has been accepted and that its body is of the given length, as the HTTP
 // library puts it: -1 for chunks. It is false where the library has read a head that is none.
 func (f *RequestFraming) Head(length int64) bool {
--- a/internal/transport/clients/conn.go
+++ b/internal/transport/clients/conn.go
@@ -74,9 +74,12 @@
 	case c.shut:
 		c.mu.Unlock()
 		return 0, net.ErrClosed
-	case c.inHand && len(b) == 1 && c.raw != nil:
+	case c.framing.Err() != nil: // again and again, as the HTTP library may pass over it once
+		err = c.framing.Err()
 		c.mu.Unlock()
-		n, err = c.attend(b)
+	case c.inHand && c.framing.Ended() && len(b) == 1 && c.raw != nil:
+		c.mu.Unlock()
+		err = c.attend()
 	case len(c.ahead) > 0:
 		n, err = c.next(b)
 		c.mu.Unlock()
@@ -101,8 +104,7 @@
 // deliver says how many of the bytes just read net/http may have: those of one request. What came behind it waits until
 // that is answered, so that no byte is taken for a request but where the framing says that one begins. The lock is held.
 func (c *conn) deliver(b []byte, read error) (n int, err error) {
-	c.began()
-	if n, err = c.framing.Accept(b); err != nil {
+	if n, err = c.accept(b); err != nil {
 		return 0, err // net/http answers a head with 400 for it, a body's reader gets it
 	}
 	if n < len(b) {
@@ -112,6 +114,14 @@
 	return n, read
 }
 
+// accept takes in bytes of the request that has begun; the lock is held.
+func (c *conn) accept(b []byte) (n int, err error) {
+	c.began()
+	n, err = c.framing.Accept(b)
+	c.inHand = c.inHand || c.framing.Ended()
+	return n, err
+}
+
 // began notes that a request has begun to come; the lock is held.
 func (c *conn) began() {
 	if c.begun = true; c.idle {
@@ -122,8 +132,7 @@
 
 // next gives what came ahead, as far as one request goes; the lock is held.
 func (c *conn) next(b []byte) (n int, err error) {
-	c.began()
-	if n, err = c.framing.Accept(c.ahead[:min(len(b), len(c.ahead))]); err != nil {
+	if n, err = c.accept(c.ahead[:min(len(b), len(c.ahead))]); err != nil {
 		return 0, err
 	}
 	copy(b, c.ahead[:n])
@@ -135,22 +144,17 @@
 
 // attend waits for the client to leave while its request is in hand. net/http reads one byte for that, and once it has
 // one it looks no further: a client that leaves behind bytes of a next request would not be seen to have left. So these
-// are put aside, as far as the bound goes; beyond it we see no more than net/http does.
-func (c *conn) attend(b []byte) (n int, err error) {
+// are put aside, as far as the bound goes; beyond it its end is not seen until the request is answered.
+func (c *conn) attend() (err error) {
 	for err == nil {
 		if bad := c.raw.Read(func(fd uintptr) bool {
 			err = c.look(fd)
-			return err != syscall.EAGAIN
+			return err != syscall.EAGAIN && err != errFull
 		}); bad != nil {
-			return 0, bad
+			return bad
 		}
 	}
-	if err == errFull {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return c.next(b)
-	}
-	return 0, err
+	return err
 }
 
 var errFull = errors.New("more came ahead than is kept")
@@ -220,6 +224,13 @@
 	return true
 }
 
+// hasMore says whether the client has sent more than the request in hand.
+func (c *conn) hasMore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ahead) > 0
+}
+
 // framed says whether a request is the one that was delivered. It guards against a reader of the HTTP library that places
 // a request's end elsewhere.
 func (c *conn) framed(r *http.Request) bool {
--- a/internal/transport/clients/crossing_test.go
+++ b/internal/transport/clients/crossing_test.go
@@ -444,3 +444,46 @@
 		t.Fatalf("%d closed for one", n)
 	}
 }
+
+// A client that sends many unusable requests at once gets one answer, its connection's last; one that sends usable ones
+// gets them all.
+func TestUnusableRequestsAtOnce(t *testing.T) {
+	const atOnce = 40
+	for name, status := range map[string]int{"unusable": http.StatusBadRequest, "refused for load": http.StatusServiceUnavailable} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			go b.Serve()
+			b.does = func(r *http.Request) (*http.Response, error) {
+				res, err := okay(r)
+				res.StatusCode = status
+				return res, err
+			}
+			want := int32(atOnce)
+			if unusable(status) {
+				want = 1
+			}
+			c, r := b.dial()
+			if _, err := io.WriteString(c, strings.Repeat(text, atOnce)); err != nil {
+				t.Fatal(err)
+			}
+			for n := int32(1); n <= want; n++ {
+				res, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				io.Copy(io.Discard, res.Body)
+				if last := res.Close; last != (want == 1) || res.StatusCode != status {
+					t.Fatalf("answer %d: %s, its connection's last: %v", n, res.Status, last)
+				}
+			}
+			if want == 1 {
+				if _, err := r.ReadByte(); err != io.EOF {
+					t.Errorf("behind the last answer: %v, expected the end", err)
+				}
+			}
+			if got := b.asked.Load(); got != want {
+				t.Errorf("%d requests came through, expected %d", got, want)
+			}
+		})
+	}
+}
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -90,6 +90,10 @@
 			p.Out.Body = http.MaxBytesReader(nil, p.Out.Body, protocol.MaxBody)
 		},
 		ModifyResponse: func(res *http.Response) error {
+			if c, ok := res.Request.Context().Value(key{}).(*conn); ok && unusable(res.StatusCode) && c.hasMore() {
+				c.why("unusable")
+				res.Header.Set("Connection", "close")
+			}
 			s.last(res.Header)
 			return nil
 		},
@@ -143,6 +147,12 @@
 	return s, nil
 }
 
+// unusable says whether a status tells that the request itself is at fault. Guards against clients that send many such
+// requests at once: refusing them waits for nothing, so that one connection would hold up all others.
+func unusable(status int) bool {
+	return status >= 400 && status < 500 && status != http.StatusTooManyRequests
+}
+
 // body tells when it has been read whole.
 type body struct {
 	io.ReadCloser
