--- a/internal/protocol/framing.go
+++ b/internal/protocol/framing.go
@@ -65,14 +65,24 @@
 	codingsField
 )
 
+// framedHead is a head that has come whole and that Head has not been asked about.
+type framedHead struct {
+	whole  bool
+	length int64 // of the body; chunkedLength for chunks
+}
+
+// chunkedLength is the HTTP library's length of a body in chunks.
+const chunkedLength = -1
+
 // RequestFraming follows the requests on one connection of a client byte by byte and tells where each ends. It is
 // stricter than the HTTP library, which drops a Content-Length beside chunks without a trace: a request whose end two
 // readers by RFC 9112 could place differently is an error, and so is every byte behind it (sections 2.2, 5.1, 5.2, 6.1
 // to 6.3, 7.1). It keeps no bytes; its size does not depend on what comes. The zero value stands before the first request.
 type RequestFraming struct {
-	state framingState
-	err   error
-	whole bool // the head of the request in hand has come, and Head has not been asked
+	state   framingState
+	err     error
+	head    framedHead // of the request in hand
+	earlier framedHead // of the one before, where the next begins before Head is asked
 
 	version  int // bytes of versionWithChunks matched by the request line's last word, or mismatched
 	name     [maxFramingName]byte
@@ -85,7 +95,6 @@
 	encoded  bool // a Transfer-Encoding field has come
 	codings  [maxCodings]byte
 	codingsN int
-	chunked  bool
 
 	remaining  uint64 // bytes of the body, or of the chunk
 	chunkSize  uint64
@@ -103,7 +112,7 @@
 		return 0, f.err
 	}
 	if f.state == atEnd {
-		*f = RequestFraming{}
+		*f = RequestFraming{earlier: f.head}
 	}
 	for n < len(b) && f.state != atEnd {
 		if f.state == inBody || f.state == inChunkData {
@@ -135,14 +144,15 @@
 func (f *RequestFraming) Err() error { return f.err }
 
 // Head says, once for each request, that its head has been accepted and that its body is of the given length, as the HTTP
-// library puts it: -1 for chunks. It is false where the library has read a head that is none.
+// library puts it. It is false where the library has read a head that is none. It has to be asked about every request.
 func (f *RequestFraming) Head(length int64) bool {
-	whole := f.whole
-	f.whole = false
-	if f.chunked {
-		return whole && length == -1
+	asked := &f.head
+	if f.earlier.whole {
+		asked = &f.earlier
 	}
-	return whole && length == f.length
+	agrees := asked.whole && asked.length == length
+	*asked = framedHead{}
+	return agrees
 }
 
 // skip passes over content.
@@ -334,7 +344,7 @@
 
 // endHead decides how the body's end is told.
 func (f *RequestFraming) endHead() error {
-	f.whole = true
+	f.head = framedHead{whole: true, length: f.length}
 	if f.encoded {
 		return f.beginChunks()
 	}
@@ -359,7 +369,7 @@
 		codings = codings[:n-1]
 	}
 	if string(codings) == chunkedCoding {
-		f.chunked, f.state = true, inChunkSize
+		f.head.length, f.state = chunkedLength, inChunkSize
 		return nil
 	}
 	if !unknownBeforeChunked(codings) {
--- a/internal/transport/clients/conn.go
+++ b/internal/transport/clients/conn.go
@@ -16,10 +16,11 @@
 
 // Bounds on what a connection may still cost.
 const (
-	lingerTime  = 500 * time.Millisecond // after its sending side is shut, until the client has closed its own,
-	lingerBytes = 256 << 10              // and what is read, and thrown away, in that time
-	mostAhead   = 16 << 10               // of what a client sends while its request is in hand
-	mute        = time.Second            // that a new one may say nothing where descriptors are short
+	lingerTime   = 500 * time.Millisecond // after its sending side is shut, until the client has closed its own,
+	lingerBytes  = 256 << 10              // and what is read, and thrown away, in that time
+	mostAhead    = 16 << 10               // of what a client sends while its request is in hand, in bytes
+	mostUnusable = 8                      // requests on a connection that were sent without waiting
+	mute         = time.Second            // that a new one may say nothing where descriptors are short
 )
 
 // conn is a client's connection. It remembers why it ended, and it is where two events may cross that net/http cannot
@@ -44,7 +45,8 @@
 	ahead   []byte // what came behind the request in hand
 	end     error  // what came behind that: the client has left
 
-	framing protocol.RequestFraming // of what has been delivered to net/http
+	unusable int                     // requests, with more behind each
+	framing  protocol.RequestFraming // of what has been delivered to net/http
 }
 
 // SetReadDeadline guards against taking the server's own break for a slow client: while a search
@@ -224,11 +226,20 @@
 	return true
 }
 
-// hasMore says whether the client has sent more than the request in hand.
-func (c *conn) hasMore() bool {
+// floods counts an unusable request and says whether the client has sent too many of them without waiting for answers.
+func (c *conn) floods() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.ahead) > 0
+	if len(c.ahead) == 0 {
+		return false
+	}
+	if c.unusable++; c.unusable < mostUnusable {
+		return false
+	}
+	if c.code == "" {
+		c.code = "unusable"
+	}
+	return true
 }
 
 // framed says whether a request is the one that was delivered. It guards against a reader of the HTTP library that places
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -90,8 +90,7 @@
 			p.Out.Body = http.MaxBytesReader(nil, p.Out.Body, protocol.MaxBody)
 		},
 		ModifyResponse: func(res *http.Response) error {
-			if c, ok := res.Request.Context().Value(key{}).(*conn); ok && unusable(res.StatusCode) && c.hasMore() {
-				c.why("unusable")
+			if c, ok := res.Request.Context().Value(key{}).(*conn); ok && unusable(res.StatusCode) && c.floods() {
 				res.Header.Set("Connection", "close")
 			}
 			s.last(res.Header)
@@ -111,6 +110,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if r.RequestURI == "*" { // OPTIONS of the server as a whole
+			s.last(w.Header())
+			return
+		}
 		if r.URL.Path == "/healthz" {
 			if s.last(w.Header()); !ready() {
 				w.WriteHeader(http.StatusServiceUnavailable)
@@ -143,7 +146,8 @@
 	// A request may take its bound to come, as long again in hand, and again to be answered.
 	s.http = http.Server{Handler: http.HandlerFunc(serve), ReadHeaderTimeout: l.Request, WriteTimeout: 3 * l.Request,
 		IdleTimeout: l.Idle, MaxHeaderBytes: protocol.MaxBody, ConnState: s.state, ErrorLog: quiet,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, key{}, c) }}
+		DisableGeneralOptionsHandler: true, // every request has to be asked about by conn.framed
+		ConnContext:                  func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, key{}, c) }}
 	return s, nil
 }
 
