Connections to nodes keep to the descriptors that the configuration states

Observed: with a list of 1,024 nodes, limits.sockets 1,024 and no such limit by the system, the program held 1,036 descriptors after its first nodes and 2,060 once each node had been replaced. The design says that seven eighths are for connections; the sum was looked at only when a client's connection came, and a dial asked for room only once the system had refused one.

Excluded: descriptors that leak (907 with the mend, as bounded; none is left after the drain); the case with a system limit (EMFILE asks for room). Not chosen: setting the process's own limit at its start, which would also bind what the surroundings hold open in the process.

Change: Dial.Patient asks for room(0) before its first dial; the program counts clients, nodes and doors together, one at a time, and closes unused connections beyond the limit. Both back ends dial that way, so Flight's leaves are held to it too. TestPatient checks that the limit is looked at once, before the first dial; TestManyNodes plays settings of 350 brokers and 1,024 nodes that are all replaced: 907 descriptors of 1,024, 44 MB at the peak. Without the mend: 'the program holds 1036 descriptors, its configuration allows 1024'.

TestManyNodes builds the program without the race detector, as its memory would say nothing (349 MB with it).

--- /dev/null
+++ b/cmd/brackenfront/many_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// The largest deployment that has to hold: so many brokers by the settings, so many nodes on the list, and the limits that
+// the platform's day puts on one broker.
+const (
+	manyBrokers     = 350
+	manyNodes       = 1024
+	manyZones       = 32 // cells of the layout; a query of one shard in each asks one node in each
+	manyDescriptors = 1024
+	manyMemoryMB    = 192
+)
+
+// generation is nodes that stand for a whole list.
+type generation []*node
+
+func newGeneration(t *testing.T, e *events, name string) generation {
+	g := make(generation, manyNodes)
+	for i := range g {
+		g[i] = newNode(t, e, fmt.Sprintf("%s-%04d", name, i), i%manyZones)
+	}
+	return g
+}
+
+// entries lists nodes as discovery does.
+func (g generation) entries(health string) string {
+	entries := make([]string, len(g))
+	for i, n := range g {
+		entries[i] = strings.ReplaceAll(n.entry(health), "BORN", "0")
+	}
+	return strings.Join(entries, ",")
+}
+
+// asked counts the nodes that have got a part, and the parts.
+func (g generation) asked() (nodes, parts int) {
+	for _, n := range g {
+		if parts += len(n.got); len(n.got) > 0 {
+			nodes++
+		}
+	}
+	return nodes, parts
+}
+
+// TestManyNodes: settings of 350 brokers and a list of 1,024 nodes, each of which is replaced once, within the limits of one
+// broker: every node is used, nothing goes to one that has left, and what is held open stays below the bound.
+func TestManyNodes(t *testing.T) {
+	t.Setenv("BRACKENFRONT_TEST_SHELL", "exec "+builtProgram(t)+";")
+	e := &events{}
+	e.moved = sync.NewCond(&e.Mutex)
+	first, second := newGeneration(t, e, "first"), newGeneration(t, e, "second")
+	p := serving(t, `"instances":1,`, fmt.Sprintf(`"instances":%d,`, manyBrokers),
+		`"places":2,"reach":1,"slices":4`, fmt.Sprintf(`"places":%d,"reach":1,"slices":%d`, manyZones, manyZones),
+		`"sockets":256`, fmt.Sprintf(`"sockets":%d`, manyDescriptors), "MAXOPEN", "2000",
+		`"whole":true,"hosts":[`, `"whole":true,"hosts":[`+first.entries("active")+`],"unused":[`)
+	if res, err := p.http.Get("http://" + p.addr + "/healthz"); err != nil || res.StatusCode != http.StatusOK {
+		t.Fatalf("not ready with a list in the configuration: %v %v", res, err)
+	}
+	before := p.holds()
+	p.askAll(e, first)
+
+	const steps = 16 // updates that replace the list between them
+	for i, size := 0, manyNodes/steps; i < steps; i++ {
+		left, joined := first[i*size:(i+1)*size], second[i*size:(i+1)*size]
+		p.words <- fmt.Sprintf(`{"seq":%d,"whole":false,"hosts":[%s,%s]}`, 42+i, left.entries("left"), joined.entries("active"))
+	}
+	p.askAll(e, second) // so that every update has been taken in
+	_, parts := e.count(first)
+	for range 2 * manyNodes / manyZones {
+		p.askEverywhere()
+	}
+	if _, again := e.count(first); again != parts {
+		t.Errorf("nodes that have left got %d parts more", again-parts)
+	}
+	after := p.holds()
+	t.Logf("at the start %+v, after %d nodes and a replacement of each %+v", before, manyNodes, after)
+	if after.peakMB > manyMemoryMB {
+		t.Errorf("held %d MB at its peak", after.peakMB)
+	}
+	p.stop()
+}
+
+// builtProgram builds the program as it is delivered and gives its path: with the race detector in it, as in this binary, its
+// memory says nothing.
+func builtProgram(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "brackenfront")
+	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", path, ".").CombinedOutput(); err != nil {
+		t.Fatalf("building the program: %v\n%s", err, out)
+	}
+	return path
+}
+
+// count locks and counts.
+func (e *events) count(g generation) (nodes, parts int) {
+	e.note(func() { nodes, parts = g.asked() })
+	return nodes, parts
+}
+
+// askEverywhere asks a query of one shard in every cell, and looks at the descriptors that it leaves open.
+func (p *program) askEverywhere() {
+	p.t.Helper()
+	shards := make([]int, manyZones)
+	for i := range shards {
+		shards[i] = i
+	}
+	p.whole("all", shards, shards...)
+	if open := p.holds().descriptors; open > manyDescriptors {
+		p.t.Fatalf("the program holds %d descriptors, its configuration allows %d", open, manyDescriptors)
+	}
+}
+
+// askAll asks until every node of a generation has got a part. The replica offset of a query is drawn by chance among
+// those with nothing out, so that some forty times as many queries as there are offsets leave none out.
+func (p *program) askAll(e *events, g generation) {
+	p.t.Helper()
+	for range 40 * manyNodes / manyZones {
+		p.askEverywhere()
+		if nodes, _ := e.count(g); nodes == len(g) {
+			return
+		}
+	}
+	nodes, _ := e.count(g)
+	p.t.Fatalf("%d of %d nodes were ever asked", nodes, len(g))
+}
+
+// held is what a process holds.
+type held struct{ descriptors, memoryMB, peakMB, threads int }
+
+// holds reads what the program holds from the system.
+func (p *program) holds() (h held) {
+	p.t.Helper()
+	dir := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
+	open, err := os.ReadDir(dir + "fd")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	status, err := os.ReadFile(dir + "status")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	field := func(name string) int {
+		n, _ := strconv.Atoi(regexp.MustCompile(name + `:\s+(\d+)`).FindStringSubmatch(string(status))[1])
+		return n
+	}
+	return held{len(open), field("VmRSS") >> 10, field("VmHWM") >> 10, field("Threads")}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -373,14 +373,16 @@
 		list.Start()
 	}
 	tripper := router.Tripper()
+	most := boot.Sockets - reserve(boot.Sockets)
 	server, err := clients.Listen(boot.Listen, clients.Limits{Request: boot.Longest, Idle: boot.Idle,
-		Most: boot.Sockets - reserve(boot.Sockets), Unused: boot.Sockets / unused, Pause: tick}, tripper, router.Ready, pool, log)
+		Most: most, Unused: boot.Sockets / unused, Pause: tick}, tripper, router.Ready, pool, log)
 	if err != nil {
 		return err
 	}
-	fleet.Share(server.Shorten)
+	limited := &descriptors{most: most, server: server, others: pool}
+	fleet.Share(limited.room)
 	if leaves != nil {
-		leaves.Share(server.Shorten)
+		leaves.Share(limited.room)
 	}
 	var door Door
 	if chosen.Flight.Listen != "" {
--- a/internal/transport/parts/dial.go
+++ b/internal/transport/parts/dial.go
@@ -15,9 +15,11 @@
 func Scarce(err error) bool { return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) }
 
 // Patient dials again, for as long as the bound, where no descriptor can be had. Guards against blaming a node for
-// our own want: room closes unused connections, and what is being closed gets a pause to leave.
+// our own want: room closes unused connections, and what is being closed gets a pause to leave. Before the first dial room(0)
+// closes what is already beyond the limit that is stated, as the system may state none.
 func (d Dial) Patient(ctx context.Context, addr string, room func(most int) int, pause, bound time.Duration) (net.Conn, error) {
 	began := time.Now()
+	room(0)
 	for {
 		c, err := d(ctx, "tcp", addr)
 		if !Scarce(err) || time.Since(began) >= bound || ctx.Err() != nil {
--- a/internal/transport/parts/parts_test.go
+++ b/internal/transport/parts/parts_test.go
@@ -21,22 +21,32 @@
 	os.Exit(m.Run())
 }
 
-// TestPatient: our own want of descriptors asks for room and dials again; every other error is told at once, and so
-// is want that lasts.
+// TestPatient: what is beyond the stated limit is closed before a dial; our own want of descriptors asks for room and dials
+// again; every other error is told at once, and so is want that lasts.
 func TestPatient(t *testing.T) {
 	for _, c := range []struct {
 		fails, rooms int
 		err          error
 		ok           bool
 	}{{0, 0, nil, true}, {3, 3, syscall.EMFILE, true}, {2, 2, syscall.ENFILE, true}, {1, 0, syscall.ECONNREFUSED, false}} {
-		dials, rooms := 0, 0
+		dials, rooms, checks := 0, 0, 0
 		d := Dial(func(context.Context, string, string) (net.Conn, error) {
-			if dials++; dials <= c.fails {
+			if dials++; checks != 1 {
+				t.Errorf("%+v: dialled after the limit was kept %d times, expected once", c, checks)
+			}
+			if dials <= c.fails {
 				return nil, fmt.Errorf("dial: %w", c.err)
 			}
 			return &net.TCPConn{}, nil
 		})
-		_, err := d.Patient(context.Background(), "x", func(int) int { rooms++; return 1 }, time.Microsecond, time.Minute)
+		_, err := d.Patient(context.Background(), "x", func(most int) int {
+			if most == 0 {
+				checks++
+				return 0
+			}
+			rooms++
+			return 1
+		}, time.Microsecond, time.Minute)
 		if (err == nil) != c.ok || rooms != c.rooms {
 			t.Errorf("%+v: %v, asked for room %d times", c, err, rooms)
 		}
