--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"runtime/metrics"
 
 	"github.com/sirupsen/logrus"
 
@@ -33,6 +35,8 @@
 		"codes": n.Codes, "turns": c.Turns, "calls": c.Calls}).Info("counters: nodes")
 	log.WithFields(logrus.Fields{"accepted": l.Accepted, "closed": l.Closed, "peak": l.Peak, "codes": l.Codes}).
 		Info("counters: clients")
+	heap, live := heapBytes()
+	log.WithFields(logrus.Fields{"goroutines": runtime.NumGoroutine(), "heap": heap, "live": live}).Info("counters: process")
 	if all, h := r.Seen(); len(all) > 0 {
 		log.WithFields(logrus.Fields{"losses": h.Losses, "returns": h.Returns, "trials": h.Trials, "failedtrials": h.Failed}).
 			Info("counters: halls")
@@ -44,6 +48,14 @@
 		"old": d.Old, "astray": c.Astray, "lists": c.Lists, "restated": c.Restated}).Info("counters: discovery")
 }
 
+// heapBytes is how many bytes of the heap are taken up now, and how many the last garbage collection found in use (0 before
+// the first). It stops nothing.
+func heapBytes() (now, live uint64) {
+	samples := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/gc/heap/live:bytes"}}
+	metrics.Read(samples)
+	return samples[0].Value.Uint64(), samples[1].Value.Uint64()
+}
+
 // tally is this broker's part of a report on the whole fleet: counts that add up.
 func tally(r *routing.Router, t *routing.Tripper) map[string]int64 {
 	c := r.Counts()
