Fleet: news of 1,024 nodes, 1,024 brokers that come at once, and no room kept for frames that do not wait

Observed, each by a test that fails without the mend: - TestNewsOfManyNodes: 'news of 0 nodes came, of 1024 that were told; dropped: 34 times'. A message took the first 256 facts and left the others without a word; the leader took no message at all of a broker beyond 256 facts in ten ticks. Now all go out, 1,024 in a message, and 4,096 may come: that a node is wanted, tried, and found. - TestManyBrokersShake: '962 of 1024 brokers were turned away unheard'. 64 could show their keys at a time; now 1,024, as all come at once to a new leader. One takes a goroutine and 4 KB for two seconds at the most. - TestRestingCaller: the council kept 45,032 bytes for every broker that rests, for three queues of 256, 46 MB at 1,024 brokers. What waits is now kept as it comes, under the same bound of 256 for each kind. Also from 64 to 1,024: brokers that say that they have a disk; from 1,000 to 1,024: leases in one answer; constants have names.

Excluded: the plan of a roll (TestPlanOfManyBrokers: 147,485 bytes of 262,144 at 1,024 brokers of the longest names).

internal/fleet without the race detector: TestBudgets, TestEveryCall, TestHistory, TestLife and TestReplace pass twice, before and after. With it, on eight cores that others used five times over, these five failed in one run of the package; TestTrials failed 6 of 6 times before the change and 5 of 6 after it ('the others' news outweigh its own try').

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -16,7 +16,6 @@
 	"brackenfront/internal/fleet/wire"
 	"brackenfront/lease"
 	"brackenfront/roll"
-	"brackenfront/trials"
 )
 
 // Named is one broker of the council, as the operators' file names it.
@@ -57,13 +56,17 @@
 	return slices.ContainsFunc(s.Council, func(n Named) bool { return n.Broker == s.Broker })
 }
 
+// Bounds on what others may hold here. Each is for a fleet of 1,024 brokers at the least; what they hold is taken as it comes.
 const (
-	mostConns   = 4096 // from other brokers at once
-	mostShaking = 64   // of them that have not shown a key yet
-	mostClient  = 1 << 20
-	mostPeer    = 64 << 20
-	queued      = 256 // frames that wait for one connection; beyond, it is closed
-	inboxed     = 1024
+	mostConns   = 4096     // from other brokers at once
+	mostShaking = 1024     // of them that have not shown a key yet: all brokers come at once to a new leader
+	mostHeard   = 1024     // brokers that say that they have a disk of the council
+	mostDisks   = 1024     // that are known by how far they have been
+	mostListed  = 1024     // leases in one answer
+	mostClient  = 1 << 20  // bytes of a frame from, or to, a broker without a seat
+	mostPeer    = 64 << 20 // bytes of a frame between seats, or to an operator's command
+	queued      = 256      // frames that wait for one connection; beyond, it is closed
+	inboxed     = 1024     // calls that wait for a goroutine; beyond, whoever calls waits
 )
 
 // Node is this process in the fleet.
@@ -356,51 +359,12 @@
 	Failed   string           `cbor:"5,keyasint,omitempty"` // and what became of that
 }
 
-// caller is a client's connection, on the side that answers.
-type caller struct {
-	c      *wire.Conn
-	out    chan answered
-	news   chan lease.Grant
-	facts  chan []trials.Fact
-	broker string
-	hall   string // news of nodes are for the callers of one
-	hears  bool
-	since  int // tick, and how many facts it has told since
-	told   int
-}
-
-// tell queues an answer; one whose client does not read is closed.
-func (c *caller) tell(a answered) {
-	select {
-	case c.out <- a:
-	default:
-		c.c.Close()
-	}
-}
-
 // answer serves a client's connection until it ends.
 func (n *Node) answer(ctx context.Context, c *wire.Conn, theirs wire.Hello) error {
-	me := &caller{c: c, out: make(chan answered, queued), news: make(chan lease.Grant, queued), facts: make(chan []trials.Fact, queued), broker: theirs.Broker}
+	me := newCaller(c, theirs.Broker)
 	gone := make(chan struct{})
 	var writer sync.WaitGroup
-	writer.Go(func() {
-		for {
-			var err error
-			select {
-			case a := <-me.out:
-				err = c.Write(frameAnswer, wire.Pack(a))
-			case g := <-me.news:
-				err = c.Write(frameNews, wire.Pack(g))
-			case f := <-me.facts:
-				err = c.Write(frameFacts, wire.Pack(f))
-			case <-gone:
-				return
-			}
-			if err != nil {
-				return
-			}
-		}
-	})
+	writer.Go(func() { me.write(gone) })
 	defer func() {
 		close(gone)
 		writer.Wait()
--- a/internal/fleet/seat.go
+++ b/internal/fleet/seat.go
@@ -220,18 +220,12 @@
 	}
 	for _, g := range out.News {
 		if c := s.news[g.Session]; c != nil {
-			select {
-			case c.news <- g:
-			default: // it asks when it renews
-			}
+			c.grant(g) // where too many wait, it asks when it renews
 		}
 	}
 	for _, id := range out.Stirred {
 		if c := s.news[id]; c != nil {
-			select {
-			case c.news <- lease.Grant{Session: id}: // of no lease: it has to call
-			default:
-			}
+			c.grant(lease.Grant{Session: id}) // of no lease: it has to call
 		}
 	}
 	if out.Changed {
@@ -345,7 +339,7 @@
 func (s *seat) trusted(c *wire.Conn, theirs wire.Hello, marks uint64) bool {
 	known, ok := s.marks[theirs.Disk]
 	switch {
-	case !ok && len(s.marks) >= 1024: // disks come and go slowly: beyond so many, none is remembered
+	case !ok && len(s.marks) >= mostDisks: // disks come and go slowly: beyond so many, none is remembered
 		clear(s.marks)
 	case ok && known.process == theirs.Process:
 		marks = max(marks, known.most)
@@ -366,7 +360,7 @@
 		c.Close()
 		return
 	}
-	if !s.trusted(c, theirs, theirs.Marks) || len(s.heard) >= 64 {
+	if !s.trusted(c, theirs, theirs.Marks) || len(s.heard) >= mostHeard {
 		return
 	}
 	if was := s.heard[theirs.Broker]; was != nil && was.Process != theirs.Process && was.Disk != theirs.Disk {
@@ -513,8 +507,8 @@
 	case q.Call != nil || q.Look != nil:
 		s.handle++
 		s.asks[s.handle] = asked{by, q.Handle}
-		if q.Look != nil && (q.Look.Most < 0 || q.Look.Most > 1000) {
-			q.Look.Most = 1000
+		if q.Look != nil && (q.Look.Most < 0 || q.Look.Most > mostListed) {
+			q.Look.Most = mostListed
 		}
 		if q.Call != nil && (len(s.news) < 2*s.n.stated.Terms.Sessions || s.news[q.Call.Session] != nil) {
 			s.news[q.Call.Session] = by // others learn with their next answer
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 
 	"brackenfront/chance"
@@ -13,8 +14,10 @@
 // trialsLease, with the hall's name behind it, is held by the broker that tries nodes for its hall.
 const trialsLease = "fleet-trials/"
 
+// Bounds on news, wide enough for a list of 1,024 nodes that are out all at once.
 const (
-	mostFacts = 256 // in one message, and that one broker may tell in ten ticks
+	mostFacts = 1024     // in one message: mostClient holds them with the longest names
+	mostTold  = 4 * 1024 // that one broker may tell in ten ticks: that it wants a node tried, tries it, and what it has found
 )
 
 // News are facts about nodes, for the brokers of a hall. Without facts it says that the sender wants to hear them.
@@ -143,7 +146,14 @@
 	if len(say) == 0 {
 		return
 	}
-	q := question{News: &News{Hall: t.n.stated.Hall, Facts: append([]trials.Fact(nil), say[:min(len(say), mostFacts)]...)}}
+	for some := range slices.Chunk(slices.Clone(say), mostFacts) {
+		t.send(&News{Hall: t.n.stated.Hall, Facts: some})
+	}
+}
+
+// send hands one message to whoever this process asks of the council.
+func (t *trialist) send(news *News) {
+	q := question{News: news}
 	c := t.n.client
 	select {
 	case c.inbox <- func() {
@@ -208,8 +218,8 @@
 		by.since, by.told = s.ticks, 0
 	}
 	by.told += len(news.Facts)
-	if len(news.Facts) == 0 || by.told > mostFacts || s.member.State() == nil {
-		if by.told > mostFacts {
+	if len(news.Facts) == 0 || by.told > mostTold || s.member.State() == nil {
+		if by.told > mostTold {
 			s.n.count("news dropped")
 		}
 		return
@@ -243,9 +253,7 @@
 	if to == nil || to == by || !to.hears {
 		return
 	}
-	select {
-	case to.facts <- facts:
-	default:
+	if !to.hear(facts) {
 		s.n.count("news dropped")
 	}
 }
