internal/program by concern: command line, configuration, daemon, serving, requests

The variables of the one function are fields of a daemon that its own goroutine alone changes. No behaviour changes: order of starts and ends, log lines and options are as before. House words that were local give way: late, slack, spare, unused, wishes, shared, told, tally; exported names stay.

cmd/brackenfront passes without the race detector; internal/program/..., cmd/brackenflight with it. With it cmd/brackenfront failed in TestPause and TestEndsOverUnread on eight cores that others used five times over.

--- /dev/null
+++ b/internal/program/configuration.go
@@ -0,0 +1,130 @@
+package program
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/internal/options"
+	"brackenfront/internal/protocol"
+	"brackenfront/internal/transport/nodes"
+)
+
+// socketSlack is by how much every time limit is longer on sockets, by the protocol's page.
+const socketSlack = 50 * time.Millisecond
+
+// memorySpare is the share of the memory limit left to what the Go runtime does not count.
+const memorySpare = 0.125
+
+// read reads the configuration and the operators' file.
+func (c *commandLine) read(extra Extra) (*protocol.Boot, *options.Options, error) {
+	boot, err := readConfiguration()
+	o, bad := c.readOptions()
+	if bad != nil {
+		return nil, nil, errors.Join(err, bad)
+	}
+	if extra.Flight == nil && (o.Flight.Listen != "" || o.Flight.Leaves) {
+		err = errors.Join(err, errors.New("options: fields flight.listen and flight.leaves: expected \"\" and false, "+
+			"as this program is built without Flight; brackenflight has it"))
+	}
+	if len(o.Fleet.Seats) > 0 {
+		if extra.Fleet == nil {
+			err = errors.Join(err, errNoFleet)
+		} else if bad := extra.Fleet.Check(o); bad != nil {
+			err = errors.Join(err, fmt.Errorf("options: %w", bad))
+		}
+	}
+	if boot != nil && err == nil {
+		err = stateHallGuard(boot, o)
+	}
+	return boot, o, err
+}
+
+var errNoFleet = errors.New("options: field fleet.council: expected none, as this program is built without the fleet; brackenflight has it")
+
+// readOptions reads the operators' file alone.
+func (c *commandLine) readOptions() (*options.Options, error) {
+	var raw []byte
+	if c.Options != "" {
+		var err error
+		if raw, err = os.ReadFile(c.Options); err != nil {
+			return nil, fmt.Errorf("options: %w", err)
+		}
+	}
+	o, err := options.Read(raw, os.Getenv, c.Set)
+	if err != nil {
+		return nil, fmt.Errorf("options: %w", err)
+	}
+	return o, nil
+}
+
+// readConfiguration reads the file that ROUTER_CONFIG names; the environment fills in what it lacks.
+func readConfiguration() (*protocol.Boot, error) {
+	path := os.Getenv("ROUTER_CONFIG")
+	if path == "" {
+		return nil, errors.New("configuration: ROUTER_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return protocol.ParseBoot(raw, func(field string) string { return os.Getenv("ROUTER_" + strings.ToUpper(field)) })
+}
+
+// stateHallGuard puts the operator's choices on whole halls into the terms. What a hall begins again with, and for how
+// long, the settings say of a single cold node.
+func stateHallGuard(boot *protocol.Boot, o *options.Options) error {
+	known := []string{boot.Zone}
+	for _, h := range boot.Known.Hosts {
+		if !slices.Contains(known, h.Zone) {
+			known = append(known, h.Zone)
+		}
+	}
+	if err := o.Halls.Ranks.Check(boot.Zone, known); err != nil {
+		return fmt.Errorf("options: field halls.order: %w", err)
+	}
+	boot.Order = o.Halls.Ranks
+	if o.Halls.Guard {
+		boot.Terms.Halls = boot.Stated(float64(o.Halls.Spill)/100, float64(o.Halls.WaitMS)/1e3,
+			float64(o.Halls.LongestMS)/1e3, float64(o.Halls.ForgetMS)/1e3)
+	}
+	return nil
+}
+
+// applyLogOptions puts in force what an operator can change while the program runs.
+func applyLogOptions(log *logrus.Logger, o *options.Options) {
+	if level, err := logrus.ParseLevel(o.Log.Level); err == nil {
+		log.SetLevel(level)
+	}
+	setLogFormat(log, o.Log.Format)
+}
+
+// nodeLimits are the limits that the settings put on connections to nodes.
+func nodeLimits(b *protocol.Boot, tick time.Duration) nodes.Limits {
+	return nodes.Limits{Streams: b.Streams, Connect: b.Connect, Idle: b.Idle, Longest: b.Longest,
+		Cancel: b.Terms.MayCancel, Pause: tick, Stale: max(socketSlack-tick, tick)}
+}
+
+// applyLimits applies what can change while the program runs.
+func applyLimits(boot *protocol.Boot) {
+	debug.SetMemoryLimit(int64(float64(boot.Memory) * (1 - memorySpare)))
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(boot.Cores))))
+}
+
+// setLogFormat has lines written as text or JSON.
+func setLogFormat(log *logrus.Logger, format string) {
+	const stamp = "2006-01-02T15:04:05.000Z07:00"
+	if format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: stamp})
+		return
+	}
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: stamp})
+}
--- a/internal/program/counters.go
+++ b/internal/program/counters.go
@@ -13,15 +13,15 @@
 	"brackenfront/internal/transport/watch"
 )
 
-// told prints one hall; work is in seconds a second, of this broker alone.
-func told(log *logrus.Logger, what string, h routing.Hall) {
+// logHall prints one hall; work is in seconds a second, of this broker alone.
+func logHall(log *logrus.Logger, what string, h routing.Hall) {
 	log.WithFields(logrus.Fields{"hall": h.Name, "stage": h.Stage.String(), "listed": h.Listed, "down": h.Down,
 		"bears": fmt.Sprintf("%.3f", h.Bears), "may": fmt.Sprintf("%.3f", h.May), "share": fmt.Sprintf("%.2f", h.Share),
 		"slow": fmt.Sprintf("%.2f", h.Slow), "losses": h.Losses, "strikes": h.Strikes}).Info(what)
 }
 
-// report prints the counters, on request and at the end.
-func report(log *logrus.Logger, r *routing.Router, t *routing.Tripper, f *nodes.Fleet, s *clients.Server,
+// logCounters prints the counters, on request and at the end.
+func logCounters(log *logrus.Logger, r *routing.Router, t *routing.Tripper, f *nodes.Fleet, s *clients.Server,
 	w *watch.Watch) {
 	c, n, l, d := r.Counts(), f.Counts(), s.Counts(), w.Counts()
 	log.WithFields(logrus.Fields{"taken": c.Taken, "answered": c.Answered, "partial": c.Partial, "shed": c.Shed,
@@ -41,7 +41,7 @@
 		log.WithFields(logrus.Fields{"losses": h.Losses, "returns": h.Returns, "trials": h.Trials, "failedtrials": h.Failed}).
 			Info("counters: halls")
 		for _, one := range all {
-			told(log, "counters: hall", one)
+			logHall(log, "counters: hall", one)
 		}
 	}
 	log.WithFields(logrus.Fields{"watches": d.Watches, "updates": d.Updates, "entries": d.Entries, "broken": d.Broken,
@@ -56,8 +56,8 @@
 	return samples[0].Value.Uint64(), samples[1].Value.Uint64()
 }
 
-// tally is this broker's part of a report on the whole fleet: counts that add up.
-func tally(r *routing.Router, t *routing.Tripper) map[string]int64 {
+// fleetCounters is this broker's part of a report on the whole fleet: counts that add up.
+func fleetCounters(r *routing.Router, t *routing.Tripper) map[string]int64 {
 	c := r.Counts()
 	return map[string]int64{"taken": int64(c.Taken), "answered": int64(c.Answered), "partial": int64(c.Partial), "shed": int64(c.Shed),
 		"errored": int64(c.Errored), "gone": int64(c.Gone), "inhand": int64(c.InHand), "full": int64(c.Full), "twice": int64(c.Twice),
--- /dev/null
+++ b/internal/program/daemon.go
@@ -0,0 +1,172 @@
+package program
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/internal/options"
+	"brackenfront/internal/protocol"
+	"brackenfront/internal/routing"
+	"brackenfront/internal/transport/clients"
+	"brackenfront/internal/transport/nodes"
+	"brackenfront/internal/transport/parts"
+	"brackenfront/internal/transport/watch"
+)
+
+// daemon is the running program. Its own goroutine, the one that serves, is the only one to change it.
+type daemon struct {
+	log     *logrus.Logger
+	command *commandLine
+	extra   Extra
+	boot    *protocol.Boot // as in force
+	chosen  *options.Options
+	tick    time.Duration
+	longest time.Duration // of all settings so far: what is in hand goes by those it came under
+
+	nodes       *nodes.Fleet
+	flightNodes Back // nil without Flight
+	router      *routing.Router
+	tripper     *routing.Tripper
+	watch       *watch.Watch
+	server      *clients.Server
+	flightDoor  Door  // nil without Flight
+	fleet       Party // nil where this process takes part in none
+	requests    fleetRequests
+
+	served      chan error    // a frontend has ended
+	drained     chan struct{} // closed when all that was in hand has its answer
+	hallsLogged chan struct{} // closed when the log of halls has ended
+	draining    bool
+}
+
+// newDaemon makes all parts and opens the listeners; nothing is served yet.
+func newDaemon(log *logrus.Logger, command *commandLine, extra Extra, boot *protocol.Boot, chosen *options.Options) (*daemon, error) {
+	d := &daemon{log: log, command: command, extra: extra, boot: boot, chosen: chosen, longest: boot.Longest,
+		tick:     time.Duration(boot.Terms.Tick * float64(time.Second)),
+		requests: newFleetRequests(), served: make(chan error, 2), drained: make(chan struct{}), hallsLogged: make(chan struct{})}
+	d.nodes = nodes.NewFleet(nodeLimits(boot, d.tick), log)
+	connections := &sharedConnections{backends: []clients.Others{d.nodes}}
+	if err := d.route(connections); err != nil {
+		return nil, err
+	}
+	if err := d.listen(connections); err != nil {
+		return nil, err
+	}
+	return d, d.joinFleet()
+}
+
+// route makes the backends, the router and the watch on discovery.
+func (d *daemon) route(connections *sharedConnections) (err error) {
+	backends := []routing.Leaves{d.nodes}
+	if d.chosen.Flight.Leaves {
+		room := &parts.Room{Most: int64(d.chosen.Flight.HeldMB) << 20}
+		d.flightNodes = d.extra.Flight.Back(d.boot, d.chosen, room, d.log)
+		backends, connections.backends = append(backends, d.flightNodes), append(connections.backends, d.flightNodes)
+	}
+	if d.router, err = routing.New(d.boot.Deployment, d.boot.Known, backends...); err != nil {
+		return fmt.Errorf("configuration: field settings: %w", err)
+	}
+	d.watch = watch.New(d.boot.Discovery, d.boot.Known, d.tick, d.log, d.router.Listed, d.router.Unlisted)
+	if d.boot.Terms.Asked {
+		d.router.Follow(d.watch.Start)
+	} else {
+		d.watch.Start()
+	}
+	d.tripper = d.router.Tripper()
+	return nil
+}
+
+// listen opens the frontends, and has all connections share the descriptors.
+func (d *daemon) listen(connections *sharedConnections) (err error) {
+	most := d.boot.Sockets - reservedDescriptors(d.boot.Sockets)
+	d.server, err = clients.Listen(d.boot.Listen, clients.Limits{Request: d.boot.Longest, Idle: d.boot.Idle,
+		Most: most, Unused: d.boot.Sockets / unusedPart, Pause: d.tick}, d.tripper, d.router.Ready, connections, d.log)
+	if err != nil {
+		return err
+	}
+	limited := &descriptors{most: most, server: d.server, others: connections}
+	d.nodes.Share(limited.room)
+	if d.flightNodes != nil {
+		d.flightNodes.Share(limited.room)
+	}
+	if d.chosen.Flight.Listen != "" {
+		if d.flightDoor, err = d.extra.Flight.Door(d.boot, d.chosen, d.router, d.log); err != nil {
+			return err
+		}
+		connections.frontends = append(connections.frontends, d.flightDoor)
+	}
+	return nil
+}
+
+// joinFleet takes part in the fleet, where the options name one.
+func (d *daemon) joinFleet() (err error) {
+	if len(d.chosen.Fleet.Seats) == 0 {
+		return nil
+	}
+	d.fleet, err = d.extra.Fleet.Start(d.chosen, d.boot, d.requests.ownBroker(d.router, d.tripper), d.log)
+	if err != nil {
+		return err
+	}
+	if d.fleet.Shares() {
+		d.nodes.Bound(d.fleet.Connections, d.fleet.Connected)
+		d.fleet.Settle(d.boot.Deployment)
+		d.router.Share(d.fleet)
+	}
+	if d.fleet.Tries() {
+		d.fleet.Bind(d.router.Try)
+		d.router.Consult(d.fleet)
+	}
+	d.log.WithField("broker", d.chosen.Fleet.Broker).WithField("listen", d.fleet.Addr()).Info("in the fleet")
+	return nil
+}
+
+// start has every part run.
+func (d *daemon) start() {
+	go func() { // the log's own goroutine, as the router waits for no log
+		defer close(d.hallsLogged)
+		for h := range d.router.Halls {
+			logHall(d.log, "hall "+h.Was.String()+" to "+h.Stage.String(), h)
+		}
+	}()
+	d.router.Start()
+	go func() { d.served <- d.server.Serve() }()
+	if d.flightDoor != nil {
+		go func() { d.served <- d.flightDoor.Serve() }()
+		d.log.WithField("listen", d.flightDoor.Addr()).Info("serving Flight")
+	}
+	d.log.WithField("name", d.boot.Name).WithField("listen", d.server.Addr()).WithField("nodes", len(d.boot.Known.Hosts)).
+		WithField("memory", debug.SetMemoryLimit(-1)).WithField("processors", runtime.GOMAXPROCS(0)).Info("serving")
+	d.requests.serving.Store(true)
+}
+
+// stop ends every part once all is drained.
+func (d *daemon) stop() {
+	d.watch.Close()
+	d.logCounters()
+	d.router.Stop()
+	close(d.router.Halls)
+	<-d.hallsLogged
+	d.nodes.Close()
+	if d.flightNodes != nil {
+		d.flightNodes.Close()
+	}
+	d.log.Info("ended")
+}
+
+// logCounters prints the counters of every part.
+func (d *daemon) logCounters() {
+	logCounters(d.log, d.router, d.tripper, d.nodes, d.server, d.watch)
+	if d.flightNodes != nil {
+		d.flightNodes.Report(d.log)
+	}
+	if d.flightDoor != nil {
+		d.flightDoor.Report(d.log)
+	}
+	if d.fleet != nil {
+		d.fleet.Report()
+	}
+}
--- a/internal/program/descriptors.go
+++ b/internal/program/descriptors.go
@@ -27,3 +27,36 @@
 	}
 	return d.server.Shorten(more)
 }
+
+// unusedPart is the part of the descriptors that clients' connections may stand unused on: half of the third
+// that the platform lets clients hold for requests.
+const unusedPart = 6
+
+// reservedDescriptors is how many descriptors are kept for what is no connection of clients or nodes, and
+// for those that are accepted or dialled while unused ones are being closed.
+func reservedDescriptors(sockets int) int { return sockets / 8 }
+
+// sharedConnections are all connections that share the descriptors with clients' over HTTP.
+type sharedConnections struct {
+	backends  []clients.Others
+	frontends []Door
+}
+
+// Open counts them.
+func (s *sharedConnections) Open() (n int) {
+	for _, b := range s.backends {
+		n += b.Open()
+	}
+	for _, d := range s.frontends {
+		n += d.Open()
+	}
+	return n
+}
+
+// Shorten closes up to so many unused ones to nodes, and says how many.
+func (s *sharedConnections) Shorten(most int) (done int) {
+	for _, b := range s.backends {
+		done += b.Shorten(most - done)
+	}
+	return done
+}
--- /dev/null
+++ b/internal/program/serve.go
@@ -0,0 +1,177 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"brackenfront/internal/protocol"
+)
+
+// acceptAfterTerm is how long new connections may go on coming after SIGTERM, by the protocol's page.
+const acceptAfterTerm = 700 * time.Millisecond
+
+// signals are those that the program heeds. One channel each, as what finds its channel full is dropped: of equal ones no
+// more than one need wait.
+type signals struct{ terminate, interrupt, hangup, counters chan os.Signal }
+
+// heedSignals is called before anything is served, and they stay heeded while draining: by default they would end the program.
+func heedSignals() signals {
+	on := func(s os.Signal) chan os.Signal {
+		c := make(chan os.Signal, 1)
+		signal.Notify(c, s)
+		return c
+	}
+	return signals{on(syscall.SIGTERM), on(syscall.SIGINT), on(syscall.SIGHUP), on(syscall.SIGUSR1)}
+}
+
+// serve is the program from its start to its end; an error is an end that was not asked for.
+func (c *commandLine) serve(log *logrus.Logger, extra Extra) error {
+	boot, chosen, err := c.read(extra)
+	if err != nil {
+		return err
+	}
+	applyLogOptions(log, chosen)
+	heeded := heedSignals()
+	applyLimits(boot)
+	d, err := newDaemon(log, c, extra, boot, chosen)
+	if err != nil {
+		return err
+	}
+	defer close(d.requests.ended)
+	d.start()
+	return d.run(heeded)
+}
+
+// run does what signals and the fleet ask for, until the program has drained.
+func (d *daemon) run(heeded signals) error {
+	for {
+		select {
+		case <-heeded.counters:
+			d.logCounters()
+		case <-heeded.hangup:
+			d.reload()
+		case s := <-heeded.terminate:
+			if d.draining { // whoever means to end it at once has SIGINT, or SIGKILL
+				d.log.WithField("signal", s.String()).Info("draining already")
+				break
+			}
+			d.log.WithField("signal", s.String()).Info("draining")
+			d.drain()
+		case s := <-heeded.interrupt:
+			if d.draining {
+				return errors.New("interrupted while draining")
+			}
+			d.log.WithField("signal", s.String()).Info("draining")
+			d.drain()
+		case answer := <-d.requests.switches:
+			if d.draining {
+				answer <- errDraining
+			} else {
+				answer <- d.reload()
+			}
+		case <-d.requests.trim:
+			d.nodes.Trim()
+		case <-d.requests.restart:
+			if !d.draining {
+				d.log.Info("draining to be started again")
+				d.drain()
+			}
+		case err := <-d.served:
+			if err != nil {
+				return err
+			}
+		case <-d.drained:
+			d.stop()
+			return nil
+		}
+	}
+}
+
+// drain begins the end in good order; drained is closed once it is done.
+func (d *daemon) drain() {
+	d.draining = true
+	d.requests.serving.Store(false)
+	bound := acceptAfterTerm + d.longest
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), bound)
+		defer cancel()
+		var others sync.WaitGroup
+		if d.flightDoor != nil {
+			others.Go(func() { d.flightDoor.Drain(ctx, acceptAfterTerm) })
+		}
+		if d.fleet != nil { // leases first of all: others wait for them
+			others.Go(func() { d.fleet.Close(ctx) })
+		}
+		d.server.Drain(ctx, acceptAfterTerm)
+		others.Wait()
+		close(d.drained)
+	}()
+}
+
+// reload reads the configuration and the options again. Its error says what is not in force.
+func (d *daemon) reload() error {
+	again, newer, err := d.command.read(d.extra)
+	if err != nil {
+		d.log.WithError(err).Error("the configuration could not be read again, the running one stays")
+		return err
+	}
+	applyLimits(again)
+	applyLogOptions(d.log, newer)
+	if d.fleet != nil {
+		if err := d.fleet.Rekey(); err != nil {
+			d.log.WithError(err).Error("fleet: the keys could not be read again, the running ones stay")
+		}
+	}
+	fixed := d.boot.Differs(again) // with any of these, none of the settings holds
+	if d.flightNodes != nil && !d.boot.Links(again.Deployment) {
+		fixed = append(fixed, "settings.policyLimits (with flight.leaves)")
+	}
+	restart := append(slices.Clone(fixed), d.chosen.Differs(newer)...)
+	switched, err := d.restate(again, fixed)
+	if err != nil {
+		d.log.WithError(err).Error("the configuration could not be put in force, the running one stays")
+		return err
+	}
+	d.log.WithField("discovery", again.Discovery).WithField("switched", switched).WithField("restart", restart).
+		Info("configuration read again")
+	if len(restart) > 0 {
+		return fmt.Errorf("only a restart puts in force: %s", strings.Join(restart, ", "))
+	}
+	return nil
+}
+
+// restate puts other settings in force, unless only a restart does, and goes on following discovery where it is now.
+func (d *daemon) restate(again *protocol.Boot, fixed []string) (switched bool, err error) {
+	moved := !d.boot.Layout(again.Deployment)
+	if moved {
+		again.Known.Of = d.boot.Known.Of + 1
+	}
+	if len(fixed) == 0 && !d.boot.Same(again.Deployment) {
+		if err := d.router.Restate(again.Deployment, again.Known); err != nil {
+			return false, err
+		}
+		if d.fleet != nil && d.fleet.Shares() {
+			d.fleet.Settle(again.Deployment)
+		}
+		d.nodes.Restate(nodeLimits(again, d.tick))
+		d.server.Restate(again.Longest)
+		d.longest = max(d.longest, again.Longest)
+		d.boot.Deployment, d.boot.Known.Of, switched = again.Deployment, again.Known.Of, true
+	}
+	if switched && moved {
+		d.watch.Rewind(again.Discovery, again.Known)
+	} else {
+		d.watch.Move(again.Discovery)
+	}
+	return switched, nil
+}
