--- a/measure/many/main.go
+++ b/measure/many/main.go
@@ -7,11 +7,13 @@
 
 import (
 	"cmp"
+	"errors"
 	"flag"
 	"fmt"
 	"net"
 	"os"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -28,22 +30,26 @@
 func main() {
 	program := flag.String("program", "bin/brackenfront", "the program")
 	starts := flag.Int("starts", 9, "starts of each kind; their median is printed")
+	together := flag.Int("together", 32, "processes with lists of 1,024 nodes that are started at once")
 	rounds := flag.Int("rounds", 20, "times that all nodes of a list of 1,024 are replaced by others")
 	flag.Parse()
 	if *rounds <= settled {
 		fmt.Fprintf(os.Stderr, "many: -rounds: got %d, expected more than %d\n", *rounds, settled)
 		os.Exit(2)
 	}
-	if err := measure(*program, *starts, *rounds); err != nil {
+	if err := measure(*program, *starts, *together, *rounds); err != nil {
 		fmt.Fprintln(os.Stderr, "many:", err)
 		os.Exit(1)
 	}
 }
 
-func measure(program string, starts, rounds int) error {
+func measure(program string, starts, together, rounds int) error {
 	if err := measureStarts(program, starts); err != nil {
 		return err
 	}
+	if err := measureTogether(program, together); err != nil {
+		return err
+	}
 	if err := measureIdle(program); err != nil {
 		return err
 	}
@@ -71,6 +77,28 @@
 	return nil
 }
 
+// measureTogether prints what it takes until nine in ten of many processes are ready that are started at once.
+func measureTogether(program string, processes int) error {
+	all := make([]started, processes)
+	failed := make([]error, processes)
+	var running sync.WaitGroup
+	for i := range all {
+		running.Go(func() { all[i], failed[i] = oneStart(program, 1024, refusing) })
+	}
+	running.Wait()
+	if err := errors.Join(failed...); err != nil {
+		return err
+	}
+	slices.SortFunc(all, func(a, b started) int { return cmp.Compare(a.tookMS, b.tookMS) })
+	used := 0.0
+	for _, s := range all {
+		used += s.usedMS
+	}
+	fmt.Printf("%d processes started at once, 1,024 nodes, discovery down: nine in ten are ready after %.0f ms, all after %.0f ms; %.2f s of CPU\n",
+		processes, all[processes*9/10].tookMS, all[processes-1].tookMS, used/1e3)
+	return nil
+}
+
 // started is one start.
 type started struct{ tookMS, usedMS, residentMB float64 }
 
