--- /dev/null
+++ b/internal/program/descriptors.go
@@ -0,0 +1,62 @@
+package program
+
+import (
+	"sync"
+
+	"brackenfront/internal/transport/clients"
+)
+
+// descriptors keeps the connections of clients and to nodes within the number that the configuration states. The system may
+// state another limit, or none: it is asked to refuse nothing.
+type descriptors struct {
+	mu     sync.Mutex // what is beyond the limit is counted and closed by one at a time
+	most   int
+	server *clients.Server
+	others clients.Others
+}
+
+// room closes unused connections: those beyond the limit, and so many more. It says how many it closed. Whoever opens a
+// connection counts it before it calls; any goroutine may.
+func (d *descriptors) room(more int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held := d.server.Counts()
+	over := held.Accepted - held.Closed + d.others.Open() - d.most
+	if more += max(over, 0); more == 0 {
+		return 0
+	}
+	return d.server.Shorten(more)
+}
+
+// unusedPart is the part of the descriptors that clients' connections may stand unused on: half of the third
+// that the platform lets clients hold for requests.
+const unusedPart = 6
+
+// reservedDescriptors is how many descriptors are kept for what is no connection of clients or nodes, and
+// for those that are accepted or dialled while unused ones are being closed.
+func reservedDescriptors(sockets int) int { return sockets / 8 }
+
+// sharedConnections are all connections that share the descriptors with clients' over HTTP.
+type sharedConnections struct {
+	backends  []clients.Others
+	frontends []Door
+}
+
+// Open counts them.
+func (s *sharedConnections) Open() (n int) {
+	for _, b := range s.backends {
+		n += b.Open()
+	}
+	for _, d := range s.frontends {
+		n += d.Open()
+	}
+	return n
+}
+
+// Shorten closes up to so many unused ones to nodes, and says how many.
+func (s *sharedConnections) Shorten(most int) (done int) {
+	for _, b := range s.backends {
+		done += b.Shorten(most - done)
+	}
+	return done
+}
