Cold nodes: room in parts, up to what warm ones answer; headroom only by lot

Causes, each by a print of rooms, sums and learned work at the worst window: - open took a node's capacity for 2.5 times what warm ones answer. That holds below a load of 0.4 only. Answered parts alone can never be more than a warm node can do, so their sum is at most N at any load. - What was sent and answered was summed in learned work. That is a low quantile of reply times, grows with the wait in a jam and falls tenfold within some twenty replies; bear, a mean over seconds, then stood for many more parts.

Change: open, the two sums and their comments count parts, room is what warm nodes answer. Nothing of it is read where all nodes are warm.

TestSmallBrokersFeedColdNodesByLot spoke of work: bear 0.01 s of parts of 0.05 s is now 0.2 parts, room 0.4 s is 8 parts. The same bounds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,7 +35,7 @@
 	still    = 1.0  // seconds unused after which a connection may have been dropped unseen
 	judging  = 0.25 // seconds between judgements of the nodes
 	spread   = 1.0  // deviations that sends to cold nodes by lot keep clear of their limit
-	headroom = 2.5  // the capacity of a cold node over what warm ones bear on average
+	headroom = 2.5  // a node's capacity over what warm ones bear, for brokers that seldom want a cold one
 	short    = 5e-5 // what sums of weights may fall short of by rounding
 	crowd    = 3.0  // the cap stays above so many parts a node by all brokers, and one whole search
 	capGain  = 0.5  // by how much a cap's worth of parts in time raises it again
@@ -350,7 +350,7 @@
 				p.rest = 0
 				b.host.Renew(at, 0)
 			}
-			n.sent.add(b.now, k.work)
+			n.sent.add(b.now, 1)
 			if b.halls != nil {
 				b.halls.Sent(at, k.work)
 			}
@@ -429,22 +429,22 @@
 		b.halls != nil && !b.halls.Open(at, work) {
 		return false
 	}
-	// Guards against pushing over a node that has just started: all work sent in a fall window
-	// counts, and the others are taken to send as we do.
+	// Guards against pushing over a node that has just started; in parts, as learned work moves too fast.
 	age := b.now - n.started
 	if n.started < 0 || age >= b.cold {
 		return true
 	}
 	sent, room := n.sent.since(b.now-b.fall), b.fallBy*(b.coldFrom+(1-b.coldFrom)*max(age, 0)/b.cold)*b.bear
-	if sent > 0 || room >= work {
-		return sent+work <= room
+	if sent > 0 || room >= headroom {
+		return sent+1 <= room/headroom
 	}
 	// Guards against starving: a small broker's room is under one part, that of all is not. Each
-	// sends its one by lot, so seldom that there is room for all; one a window of all at the least.
+	// sends its one by lot, so seldom that there is room if all do; one a window of all at the least.
 	if b.now >= n.luckAt {
 		n.luckAt, n.luck = b.now+b.fall, b.rand.Next()
 	}
-	root := max((math.Sqrt(spread*spread+4*b.brokers*room/work)-spread)/2, 1)
+	room *= min(1/(1-math.Exp(-b.bear))/headroom, 1) // only those that want one in a window send it
+	root := max((math.Sqrt(spread*spread+4*b.brokers*room)-spread)/2, 1)
 	return n.luck*b.brokers < root*root
 }
 
@@ -558,7 +558,7 @@
 		}
 		faded := math.Exp2((n.latAt - b.now) / b.memory)
 		n.lat, n.latAt = n.lat*faded+max(learnLag, 1-faded)*(took-n.lat*faded), b.now
-		n.done.add(b.now, k.work)
+		n.done.add(b.now, 1)
 		// Guards against pushing over a hall that came back cold, whatever the list says of its nodes.
 		if b.halls != nil && b.halls.Answered(p.node, k.work, took/max(k.usual, b.period)) {
 			n.started = b.now
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -509,7 +509,7 @@
 func TestSmallBrokersFeedColdNodesByLot(t *testing.T) {
 	terms, nodes := plainTerms()
 	terms.Brokers = 100
-	for _, bear := range []float64{0, 0.01} { // what a warm node bears; 0 where there is none to tell
+	for _, bear := range []float64{0, 0.2} { // the parts that a warm node bears; 0 where there is none to tell
 		sent, room := 0.0, 0.0
 		for seed := range 100 { // every broker of the fleet, each with a share of under one part
 			terms.Seed, nodes[0].Started = uint64(seed), 0
@@ -517,17 +517,41 @@
 			nodes[0].Started = w.now
 			w.turn(func() { w.b.List(false, nodes[:1]) })
 			w.b.judgeAt, w.b.bear = math.Inf(1), bear
-			room = max(100*w.b.fallBy*w.b.coldFrom*bear, 4*0.05)
+			room = max(100*w.b.fallBy*w.b.coldFrom*bear, 4)
 			if w.b.open(0, 0.05, false) {
-				sent += 0.05
+				sent++
 			}
 		}
 		if sent == 0 && bear > 0 || sent > room {
-			t.Fatalf("%g s of work sent to a cold node by all, there is room for %g", sent, room)
+			t.Fatalf("%g parts sent to a cold node by all, there is room for %g", sent, room)
 		}
 	}
 }
 
+// TestRoomIsNoMoreWhenWorkIsLearnedAnew: what a part is taken for falls tenfold within a few replies when a jam ends; what
+// is known of warm nodes takes seconds.
+func TestRoomIsNoMoreWhenWorkIsLearnedAnew(t *testing.T) {
+	terms, nodes := plainTerms()
+	w := newWorld(t, terms, nodes)
+	w.capacity = 20 * w.work // each node answers twenty parts in a fall window
+	for range 100 {
+		w.pass(0.1)
+		for shard := range 4 {
+			w.reply(w.ask(0, 4, shard), 0, OK)
+			w.reply(w.ask(0, 4, shard), 0, OK)
+		}
+	}
+	nodes[0].Started, w.b.nodes[0].sent, w.sent[0] = w.now, tally{}, nil // what its earlier life got aside
+	w.turn(func() { w.b.List(false, nodes[:1]) })
+	w.b.kinds[0].work /= 10
+	for range 100 {
+		w.ask(0, 4, 0)
+	}
+	if sent, room := len(w.sent[0]), terms.FallMultiple*terms.ColdFrom*20; sent == 0 || float64(sent) > room {
+		t.Fatalf("%d parts sent to a cold node, there is room for %g", sent, room)
+	}
+}
+
 func TestSearchThatNeedsManyRoundsThroughTheCapIsShed(t *testing.T) {
 	for _, room := range []float64{1, 100} {
 		w := plain(t, 4)
--- a/balance/state.go
+++ b/balance/state.go
@@ -51,7 +51,7 @@
 	advice            float64
 	cold, coldFrom    float64
 	fall, fallBy      float64
-	bear              float64 // this broker's work answered by a warm node over one fall window
+	bear              float64 // this broker's parts answered by a warm node over one fall window, and headroom
 	taken, further    tally
 	owed              int // sub-requests cancelled to be resent
 	extra, share      float64
