The watch: a change is in force before it counts as told, whatever one call meets

A change counts as told 6 s after discovery had it and could be reached, or after an open watch fell silent; 4 s after a SIGHUP to another discovery.

Cause: 4 s of silence, then a call that hangs in its dial (2 s) or is never answered (4 s), left nothing for the call that brings the change; rests of 2 s added up over calls that fail at once; blanks that end no line passed for heartbeats and kept a watch for ever; and of an update whose first bytes came together with the end of the one before, the later bytes passed for a sign of life once more.

Change: silence between updates is borne for 1.5 heartbeats (3 s), a call for 1.25 (2.5 s) until its head, until its first word and within an update, rests are half a heartbeat (1 s) at most, only an end of line is an empty line, and bytes that have come already count as the next update's beginning. A dial has the call's bound, as the transport lets it go on past its call.

Excluded: bounds that grow with each call given up (first trial, on paper): they put the sums over again where discovery was away for long.

--- a/cmd/brackenfront/program_test.go
+++ b/cmd/brackenfront/program_test.go
@@ -293,6 +293,9 @@
 				}
 				io.WriteString(w, strings.ReplaceAll(word, "BORN", "0")+"\n")
 				w.(http.Flusher).Flush()
+			case <-time.After(time.Second): // a heartbeat
+				io.WriteString(w, "\n")
+				w.(http.Flusher).Flush()
 			case <-r.Context().Done():
 				return
 			case <-stop:
--- a/internal/transport/watch/watch.go
+++ b/internal/transport/watch/watch.go
@@ -16,26 +16,33 @@
 	"github.com/sirupsen/logrus"
 
 	"brackenfront/internal/protocol"
+	"brackenfront/internal/transport/parts"
 )
 
-// heartbeat is how often a watch says at least an empty line. Two missing ones end it: whatever
-// discovery has to tell counts as told after three, and a new watch may still bring it before that.
+// heartbeat is how often a watch says at least an empty line.
+const heartbeat = 2 * time.Second
+
+// What the watch waits for, in heartbeats. A change counts as told after three, from when discovery had it and could be reached,
+// or from when a watch fell silent: the longest silence and one call that comes to nothing, or two such calls and a rest, have to
+// leave time for the call that brings it. TestCountsAfter adds them up.
 const (
-	heartbeat = 2 * time.Second
-	missing   = 2
+	silence = 1.5  // without a sign of life between two updates
+	delay   = 1.25 // until a connection is up and the answer's head is there, until its first sign of life, and within an update
+	rest    = 0.5  // the longest between two calls
 )
 
-// most bounds one update of discovery, in bytes; how long one may take is bounded as silence is.
+// most bounds one update of discovery, in bytes.
 const most = 16 << 20
 
 // Watch follows discovery until it is stopped.
 type Watch struct {
 	seq  int64
 	of   int           // which list that is a version of
-	wait time.Duration // before the second try; it doubles up to a heartbeat
+	wait time.Duration // before the second try; it doubles up to a rest
 	log  *logrus.Logger
 	told func(protocol.Listing)
 	lost func()
+	dial parts.Dial
 	http http.Client
 	beat time.Duration
 	stop context.CancelFunc
@@ -60,12 +67,21 @@
 	told func(protocol.Listing), lost func()) *Watch {
 	w := &Watch{addr: addr, seq: known.Seq, of: known.Of, wait: wait, log: log, told: told, lost: lost, beat: heartbeat,
 		turn: func() {}}
-	d := net.Dialer{Timeout: heartbeat, KeepAlive: -1}
-	w.http.Transport = &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, Proxy: nil,
-		ResponseHeaderTimeout: missing * heartbeat}
+	w.dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	w.http.Transport = &http.Transport{DialContext: w.connect, DisableKeepAlives: true, Proxy: nil}
 	return w
 }
 
+// connect makes a call's connection within the call's bound: the transport lets a dial go on whose call is over.
+func (w *Watch) connect(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.beats(delay))
+	defer cancel()
+	return w.dial(ctx, network, addr)
+}
+
+// beats gives so many heartbeats as a time.
+func (w *Watch) beats(n float64) time.Duration { return time.Duration(n * float64(w.beat)) }
+
 // Start begins to follow; more calls change nothing, as it takes up lost watches by itself.
 func (w *Watch) Start() {
 	w.mu.Lock()
@@ -160,7 +176,7 @@
 		case <-time.After(wait):
 		}
 		cancel()
-		wait = min(2*wait, w.beat)
+		wait = min(2*wait, w.beats(rest))
 	}
 }
 
@@ -177,7 +193,7 @@
 	w.count.Watches++
 	w.mu.Unlock()
 	// Guards against a discovery that fell silent: the connection shows nothing of it.
-	quiet := time.AfterFunc(missing*w.beat, cancel)
+	quiet := time.AfterFunc(w.beats(delay), cancel)
 	defer quiet.Stop()
 	res, err := w.http.Do(req)
 	if err != nil {
@@ -190,7 +206,9 @@
 	if res.StatusCode != http.StatusOK {
 		return 0, "status", fmt.Errorf("answered %s", res.Status)
 	}
-	r := &pulse{r: res.Body, beat: func() { quiet.Reset(missing * w.beat) }, left: most}
+	quiet.Reset(w.beats(delay))
+	r := &pulse{r: res.Body, left: most, alive: func() { quiet.Reset(w.beats(silence)) },
+		begun: func() { quiet.Reset(w.beats(delay)) }}
 	for dec := json.NewDecoder(r); ; {
 		var text json.RawMessage
 		if err := dec.Decode(&text); err != nil {
@@ -205,7 +223,7 @@
 			}
 			return updates, "broken", err
 		}
-		r.next()
+		r.next(dec.Buffered())
 		list, err := protocol.ParseListing(text)
 		if err != nil {
 			return updates, "malformed", w.broken(err)
@@ -239,10 +257,12 @@
 var errLong = fmt.Errorf("an update of over %d bytes", most)
 
 // pulse is a stream of updates, which may stand in several lines each, and of empty lines between them. Guards against one
-// that falls silent, or never ends, in the middle of an update: bytes within an update are no sign of life.
+// that falls silent, or never ends, in the middle of an update: bytes within an update are no sign of life, nor are blanks that
+// end no line.
 type pulse struct {
 	r      io.Reader
-	beat   func()
+	alive  func() // hears a sign of life: an empty line, or the end of an update
+	begun  func() // hears that an update begins
 	left   int
 	inside bool
 }
@@ -253,15 +273,29 @@
 	}
 	n, err := p.r.Read(b[:min(len(b), p.left)])
 	p.left -= n
-	if n > 0 && !p.inside {
-		p.beat()
-		p.inside = len(bytes.TrimSpace(b[:n])) > 0
-	}
+	p.saw(b[:n])
 	return n, err
 }
 
-// next begins another update.
-func (p *pulse) next() {
+// saw tells what bytes that have come mean.
+func (p *pulse) saw(b []byte) {
+	switch {
+	case p.inside:
+	case !blank(b):
+		p.inside = true
+		p.begun()
+	case bytes.IndexByte(b, '\n') >= 0:
+		p.alive()
+	}
+}
+
+// next begins another update, of which these bytes have come already.
+func (p *pulse) next(ahead io.Reader) {
 	p.left, p.inside = most, false
-	p.beat()
+	p.alive()
+	b, _ := io.ReadAll(ahead) // from memory
+	p.saw(b)
 }
+
+// blank says whether there is nothing but what JSON allows between two values.
+func blank(b []byte) bool { return len(bytes.Trim(b, " \t\r\n")) == 0 }
--- a/internal/transport/watch/watch_test.go
+++ b/internal/transport/watch/watch_test.go
@@ -266,7 +266,7 @@
 
 // TestLongUpdate: an update without end is bounded in bytes, too.
 func TestLongUpdate(t *testing.T) {
-	p := &pulse{r: endless{}, beat: func() {}, left: 1000}
+	p := &pulse{r: endless{}, alive: func() {}, begun: func() {}, left: 1000}
 	if n, err := io.Copy(io.Discard, p); n != 1000 || err != errLong {
 		t.Fatal(n, err)
 	}
