Idle clients on all descriptors keep neither discovery's list nor a reload away

Cause: only dials to nodes asked for room where no descriptor could be had. The watch's own dial failed at once and rested, while the accepting side took every descriptor that came free; and a SIGHUP whose file could not be opened was dropped, so that the broker stayed with the former discovery.

Change: parts.Patiently, which the dials to nodes went by already, serves the watch and the reload, too. The watch starts once it can ask for room.

Excluded: clients that leave requests half sent on all descriptors.

--- a/cmd/brackenfront/program_test.go
+++ b/cmd/brackenfront/program_test.go
@@ -320,11 +320,17 @@
 // serving starts a program and waits until it serves.
 func serving(t testing.TB, change ...string) *program {
 	p := start(t, change...)
-	p.addr = regexp.MustCompile(`listen="([^"]+)"`).FindStringSubmatch(p.line("msg=serving"))[1]
+	p.served()
 	p.watched()
 	return p
 }
 
+// served waits until the program serves.
+func (p *program) served() {
+	p.t.Helper()
+	p.addr = regexp.MustCompile(`listen="([^"]+)"`).FindStringSubmatch(p.line("msg=serving"))[1]
+}
+
 // watched waits for a watch to begin and gives what it asked.
 func (p *program) watched() string {
 	p.t.Helper()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -367,11 +367,6 @@
 		return fmt.Errorf("configuration: field settings: %w", err)
 	}
 	list := watch.New(boot.Discovery, boot.Known, tick, log, router.Listed, router.Unlisted)
-	if boot.Terms.Asked {
-		router.Follow(list.Start)
-	} else {
-		list.Start()
-	}
 	tripper := router.Tripper()
 	server, err := clients.Listen(boot.Listen, clients.Limits{Request: boot.Longest, Idle: boot.Idle,
 		Most: boot.Sockets - reserve(boot.Sockets), Unused: boot.Sockets / unused, Pause: tick}, tripper, router.Ready, pool, log)
@@ -379,6 +374,12 @@
 		return err
 	}
 	fleet.Share(server.Shorten)
+	list.Share(server.Shorten)
+	if boot.Terms.Asked {
+		router.Follow(list.Start)
+	} else {
+		list.Start()
+	}
 	if leaves != nil {
 		leaves.Share(server.Shorten)
 	}
@@ -441,7 +442,13 @@
 
 	longest := boot.Longest // of all settings so far: what is in hand goes by those it came under
 	reload := func() error {
-		again, newer, err := l.read(extra)
+		var again *protocol.Boot
+		var newer *options.Options
+		// Guards against losing a reload to clients that hold all descriptors.
+		err := parts.Patiently(context.Background(), server.Shorten, tick, boot.Connect, func() (err error) {
+			again, newer, err = l.read(extra)
+			return err
+		})
 		if err != nil {
 			log.WithError(err).Error("the configuration could not be read again, the running one stays")
 			return err
--- a/internal/transport/parts/dial.go
+++ b/internal/transport/parts/dial.go
@@ -14,14 +14,23 @@
 // Scarce says whether an error is our own want of descriptors.
 func Scarce(err error) bool { return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) }
 
-// Patient dials again, for as long as the bound, where no descriptor can be had. Guards against blaming a node for
+// Patient dials again, for as long as the bound, where no descriptor can be had.
+func (d Dial) Patient(ctx context.Context, addr string, room func(most int) int, pause, bound time.Duration) (c net.Conn, err error) {
+	err = Patiently(ctx, room, pause, bound, func() (err error) {
+		c, err = d(ctx, "tcp", addr)
+		return err
+	})
+	return c, err
+}
+
+// Patiently opens again, for as long as the bound, where no descriptor can be had. Guards against blaming another side for
 // our own want: room closes unused connections, and what is being closed gets a pause to leave.
-func (d Dial) Patient(ctx context.Context, addr string, room func(most int) int, pause, bound time.Duration) (net.Conn, error) {
+func Patiently(ctx context.Context, room func(most int) int, pause, bound time.Duration, open func() error) error {
 	began := time.Now()
 	for {
-		c, err := d(ctx, "tcp", addr)
+		err := open()
 		if !Scarce(err) || time.Since(began) >= bound || ctx.Err() != nil {
-			return c, err
+			return err
 		}
 		room(1)
 		time.Sleep(pause)
--- a/internal/transport/watch/terms_test.go
+++ b/internal/transport/watch/terms_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -231,3 +232,31 @@
 		}
 	}
 }
+
+// TestScarceDescriptors: our own want of descriptors asks for room and dials again within the same call.
+func TestScarceDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		told := make(chan protocol.Listing, 1)
+		w := New("discovery:1", protocol.Listing{Seq: 7}, 5*time.Millisecond, log, func(l protocol.Listing) { told <- l }, func() {})
+		held := 4 // descriptors too many
+		w.Share(func(most int) int { held -= most; return most })
+		w.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			if held > 0 {
+				return nil, fmt.Errorf("dial: %w", syscall.EMFILE)
+			}
+			return good(ctx, w)
+		}
+		w.Start()
+		select {
+		case <-told:
+		case <-time.After(countsAfter):
+			t.Error("nothing is told")
+		}
+		if c := w.Counts(); c.Watches != 1 {
+			t.Errorf("%+v", c)
+		}
+		w.Close()
+	})
+}
--- a/internal/transport/watch/watch.go
+++ b/internal/transport/watch/watch.go
@@ -43,6 +43,7 @@
 	told func(protocol.Listing)
 	lost func()
 	dial parts.Dial
+	room func(most int) int
 	http http.Client
 	beat time.Duration
 	stop context.CancelFunc
@@ -66,19 +67,23 @@
 func New(addr string, known protocol.Listing, wait time.Duration, log *logrus.Logger,
 	told func(protocol.Listing), lost func()) *Watch {
 	w := &Watch{addr: addr, seq: known.Seq, of: known.Of, wait: wait, log: log, told: told, lost: lost, beat: heartbeat,
-		turn: func() {}}
+		turn: func() {}, room: func(int) int { return 0 }}
 	w.dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	w.http.Transport = &http.Transport{DialContext: w.connect, DisableKeepAlives: true, Proxy: nil}
 	return w
 }
 
 // connect makes a call's connection within the call's bound: the transport lets a dial go on whose call is over.
-func (w *Watch) connect(ctx context.Context, network, addr string) (net.Conn, error) {
+func (w *Watch) connect(ctx context.Context, _, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.beats(delay))
 	defer cancel()
-	return w.dial(ctx, network, addr)
+	return w.dial.Patient(ctx, addr, w.room, w.wait, w.beats(delay))
 }
 
+// Share names what closes up to so many unused connections where no descriptor can be had, and says how many it closed. It has
+// to come before Start; it may be called from any goroutine.
+func (w *Watch) Share(room func(most int) int) { w.room = room }
+
 // beats gives so many heartbeats as a time.
 func (w *Watch) beats(n float64) time.Duration { return time.Duration(n * float64(w.beat)) }
 
