Readers of bytes: lists without hosts, scores out of order, tickets of several values are refused

Three needed a guard, each test seen to fail without it:

- An update without `hosts` was read as a list without entries; whole, it took every node out.
"protocol_test.go: {"seq":9,"whole":true} read as {Seq:9 Whole:true Hosts:[] Of:0}".
An empty list that is written out stays one.
- A reply's score of NaN or infinity passed, and no order of shards for a second step is one with NaN.
- A Flight ticket of two values ran the first: "wanted InvalidArgument ..., got EOF" (the search was answered).

--- a/internal/program/withflight/faults_test.go
+++ b/internal/program/withflight/faults_test.go
@@ -399,6 +399,9 @@
 		{strings.Replace(good, `"acme"`, `"nobody"`, 1), "InvalidArgument desc = X-Customer: expected"},
 		{strings.Replace(good, `"bucket":0`, `"bucket":9`, 1), "InvalidArgument desc = buckets[0].bucket: expected a shard from 0 to 2"},
 		{strings.Replace(good, `"id"`, `"odd":1,"id"`, 1), `InvalidArgument desc = ticket: expected`},
+		{good + good, `InvalidArgument desc = ticket: expected`},
+		{good + "]", `InvalidArgument desc = ticket: expected`},
+		{good + "\x00", `InvalidArgument desc = ticket: expected`},
 		{strings.Repeat(" ", 70_000) + good, "ResourceExhausted"},
 	} {
 		if err := get(c.ticket, patience); err == nil || !strings.Contains(err.Error(), c.says) {
--- a/internal/protocol/frame.go
+++ b/internal/protocol/frame.go
@@ -112,8 +112,8 @@
 	if e.How, ok = ends[string(f[1])]; !ok {
 		return e, &BadFrame{fmt.Sprintf("a reply that ended %.20q, expected hit, fault or overload", f[1])}
 	}
-	if e.Score, err = strconv.ParseFloat(string(f[2]), 64); err != nil && e.How == balance.OK {
-		return e, &BadFrame{fmt.Sprintf("a reply's score %.20q, expected a number", f[2])}
+	if e.Score, err = strconv.ParseFloat(string(f[2]), 64); e.How == balance.OK && (err != nil || e.Score-e.Score != 0) {
+		return e, &BadFrame{fmt.Sprintf("a reply's score %.20q, expected a number", f[2])} // what cannot be put in order neither
 	}
 	e.ID, e.Value = string(f[0]), value
 	if e.How == balance.OK && !utf8.Valid(value) {
--- a/internal/protocol/listing.go
+++ b/internal/protocol/listing.go
@@ -42,8 +42,8 @@
 	if err = json.Unmarshal(raw, &v); err != nil {
 		return l, err
 	}
-	if v.Seq == nil || v.Whole == nil {
-		return l, fmt.Errorf("seq or whole is missing")
+	if v.Seq == nil || v.Whole == nil || v.Hosts == nil {
+		return l, fmt.Errorf("seq, whole or hosts is missing")
 	}
 	l.Seq, l.Whole = *v.Seq, *v.Whole
 	for _, h := range v.Hosts {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -174,6 +175,62 @@
 	}
 }
 
+// TestBadReplies: what no reader could take as one reply is none: too few or too many words, another end, a score that is no
+// number or cannot be put in order, a value that is no text.
+func TestBadReplies(t *testing.T) {
+	for _, in := range []string{"", "\n", "a.1 hit 1 -", "a.1 hit 1\n", "a.1 hit 1 - -\n", "a.1  hit 1 -\n", "a.1 HIT 1 -\n", "a.1 hit one -\n",
+		"a.1 hit NaN -\nv", "a.1 hit inf -\nv", "a.1 hit -Infinity -\nv", "a.1 hit 1e999 -\nv", "a.1 hit  -\nv", "a.1 hit 1 -\n\xff"} {
+		if e, err := ParseReply([]byte(in)); err == nil {
+			t.Errorf("%q read as %+v", in, e)
+		}
+	}
+}
+
+// TestFramesCutAnywhere: frames end at any byte. Those that came whole are read, and the end is told apart from one between frames.
+func TestFramesCutAnywhere(t *testing.T) {
+	frames := []string{"\x00\x00\x00\x04Chit", "\x00\x00\x00\x11Ea.1 hit 7 x=1\nvv", "\x00\x00\x00\x01C"}
+	all := strings.Join(frames, "")
+	for cut := range len(all) + 1 {
+		left, whole := cut, 0
+		for whole < len(frames) && left >= len(frames[whole]) {
+			left -= len(frames[whole])
+			whole++
+		}
+		want := io.EOF
+		if left > 0 {
+			want = io.ErrUnexpectedEOF
+		}
+		r, n := strings.NewReader(all[:cut]), 0
+		for {
+			letter, rest, err := ReadFrame(r)
+			if err != nil {
+				if n != whole || err != want {
+					t.Fatalf("cut at %d: %d frames, then %v; wanted %d, then %v", cut, n, err, whole, want)
+				}
+				break
+			}
+			if string(letter)+string(rest) != frames[n][4:] {
+				t.Fatalf("cut at %d: frame %d read as %c%q", cut, n, letter, rest)
+			}
+			n++
+		}
+	}
+}
+
+// TestHalfListing: a list without its entries is none: whole, it would pass for one of which every node is gone.
+func TestHalfListing(t *testing.T) {
+	for _, in := range []string{`{"seq":9,"whole":true}`, `{"seq":9,"whole":true,"hosts":null}`, `{"seq":9,"hosts":[]}`, `{"whole":true,"hosts":[]}`,
+		`{"seq":9,"whole":true,"hosts":[]}]`, `{"seq":9,"whole":true,"hosts":[]}{}`, `{"seq":9.5,"whole":true,"hosts":[]}`,
+		`{"seq":9,"whole":true,"hosts":[null]}`, `[{"seq":9,"whole":true,"hosts":[]}]`, `null`, `7`, ``} {
+		if l, err := ParseListing([]byte(in)); err == nil {
+			t.Errorf("%s read as %+v", in, l)
+		}
+	}
+	if l, err := ParseListing([]byte(`{"seq":9,"whole":true,"hosts":[]}`)); err != nil || !l.Whole || len(l.Hosts) != 0 {
+		t.Errorf("an empty list: %+v, %v", l, err)
+	}
+}
+
 // TestBoot: the configuration may leave to the environment what stands there, and names what it lacks.
 func TestBoot(t *testing.T) {
 	env := func(field string) string { return map[string]string{"listen": "127.0.0.1:9"}[field] }
--- a/internal/transport/flightdoor/door.go
+++ b/internal/transport/flightdoor/door.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -146,7 +147,11 @@
 	var c command
 	dec := json.NewDecoder(strings.NewReader(string(raw)))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&c); err != nil {
+	err := dec.Decode(&c)
+	if _, more := dec.Token(); err == nil && more != io.EOF { // a reader that takes the last of several values would take another search
+		err = errors.New("more behind it")
+	}
+	if err != nil {
 		return nil, &protocol.BadField{Field: "ticket", Want: "a JSON object with type, id, dealer, object, again and search (" + err.Error() + ")"}
 	}
 	until, ok := ctx.Deadline()
