--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -482,11 +482,11 @@
 			longest = max(longest, again.Longest)
 			boot.Deployment, boot.Known.Of, switched = again.Deployment, again.Known.Of, true
 		}
+		var from *protocol.Listing // the version in hand
 		if switched && moved {
-			list.Rewind(again.Discovery, again.Known)
-		} else {
-			list.Move(again.Discovery)
+			from = &again.Known
 		}
+		list.Move(again.Discovery, from)
 		log.WithField("discovery", again.Discovery).WithField("switched", switched).WithField("restart", restart).
 			Info("configuration read again")
 		if len(restart) > 0 {
--- a/internal/transport/watch/terms_test.go
+++ b/internal/transport/watch/terms_test.go
@@ -150,7 +150,7 @@
 		w.dial = d.dial(w)
 		w.Start()
 		if d.moved {
-			time.AfterFunc(at, func() { w.Move("other:1") })
+			time.AfterFunc(at, func() { w.Move("other:1", nil) })
 		}
 		select {
 		case is := <-told:
--- a/internal/transport/watch/watch.go
+++ b/internal/transport/watch/watch.go
@@ -100,23 +100,19 @@
 	go w.run(ctx)
 }
 
-// Move goes on at another address, at once and from the version in hand: what changed while no watch
-// was open comes with the first update of the next.
-func (w *Watch) Move(addr string) {
+// Move goes on at another address, at once. From is the list that it goes on from, where that is another one, also at the same
+// address: what is told next is what changed since then, and an update of the list before, which may still be told, says by Of
+// that it is one. Without from it is the version in hand: what changed while no watch was open comes with the first update.
+func (w *Watch) Move(addr string, from *protocol.Listing) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if addr != w.addr {
-		w.addr = addr
-		w.turn()
+	if from == nil && addr == w.addr {
+		return
+	}
+	w.addr = addr
+	if from != nil {
+		w.from = from
 	}
-}
-
-// Rewind goes on from another list, at an address that may be another: what is told next is what changed since then. An update
-// of the list before may still be told; it says by Of that it is one.
-func (w *Watch) Rewind(addr string, known protocol.Listing) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.addr, w.from = addr, &known
 	w.turn()
 }
 
--- a/internal/transport/watch/watch_test.go
+++ b/internal/transport/watch/watch_test.go
@@ -283,7 +283,7 @@
 	d.w.Start()
 	d.next(7).say(update(41, false, "a"))
 	d.hears(41, 1)
-	d.w.Move(d.serve())
+	d.w.Move(d.serve(), nil)
 	s := d.next(41)
 	s.say(update(39, true, "a", "b") + update(40, false, "b") + update(41, true, "a") + update(42, false, "b"))
 	d.hears(41, 1)
@@ -308,7 +308,7 @@
 	d.w.Start()
 	d.next(7).say(update(50, false, "a") + update(51, false, "a"))
 	<-in
-	d.w.Rewind(d.serve(), protocol.Listing{Seq: 12, Of: 1})
+	d.w.Move(d.serve(), &protocol.Listing{Seq: 12, Of: 1})
 	close(on)
 	if l := d.hears(50, 1); l.Of != 0 {
 		t.Fatalf("%+v", l)
