--- a/internal/program/daemon.go
+++ b/internal/program/daemon.go
@@ -33,6 +33,7 @@
 	tripper     *routing.Tripper
 	watch       *watch.Watch
 	server      *clients.Server
+	room        func(more int) int // closes unused connections (descriptors.room)
 	flightDoor  Door  // nil without Flight
 	fleet       Party // nil where this process takes part in none
 	requests    fleetRequests
@@ -71,11 +72,6 @@
 		return fmt.Errorf("configuration: field settings: %w", err)
 	}
 	d.watch = watch.New(d.boot.Discovery, d.boot.Known, d.tick, d.log, d.router.Listed, d.router.Unlisted)
-	if d.boot.Terms.Asked {
-		d.router.Follow(d.watch.Start)
-	} else {
-		d.watch.Start()
-	}
 	d.tripper = d.router.Tripper()
 	return nil
 }
@@ -89,9 +85,16 @@
 		return err
 	}
 	limited := &descriptors{most: most, server: d.server, others: connections}
-	d.nodes.Share(limited.room)
+	d.room = limited.room
+	d.nodes.Share(d.room)
+	d.watch.Share(d.room)
+	if d.boot.Terms.Asked {
+		d.router.Follow(d.watch.Start)
+	} else {
+		d.watch.Start()
+	}
 	if d.flightNodes != nil {
-		d.flightNodes.Share(limited.room)
+		d.flightNodes.Share(d.room)
 	}
 	if d.chosen.Flight.Listen != "" {
 		if d.flightDoor, err = d.extra.Flight.Door(d.boot, d.chosen, d.router, d.log); err != nil {
--- a/internal/program/descriptors.go
+++ b/internal/program/descriptors.go
@@ -20,8 +20,7 @@
 func (d *descriptors) room(more int) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	held := d.server.Counts()
-	over := held.Accepted - held.Closed + d.others.Open() - d.most
+	over := d.server.Open() + d.others.Open() - d.most
 	if more += max(over, 0); more == 0 {
 		return 0
 	}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -14,7 +14,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"brackenfront/internal/options"
 	"brackenfront/internal/protocol"
+	"brackenfront/internal/transport/parts"
 )
 
 // acceptAfterTerm is how long new connections may go on coming after SIGTERM, by the protocol's page.
@@ -120,7 +122,13 @@
 
 // reload reads the configuration and the options again. Its error says what is not in force.
 func (d *daemon) reload() error {
-	again, newer, err := d.command.read(d.extra)
+	var again *protocol.Boot
+	var newer *options.Options
+	// Guards against losing a reload to clients that hold all descriptors.
+	err := parts.Patiently(context.Background(), d.room, d.tick, d.boot.Connect, func() (err error) {
+		again, newer, err = d.command.read(d.extra)
+		return err
+	})
 	if err != nil {
 		d.log.WithError(err).Error("the configuration could not be read again, the running one stays")
 		return err
@@ -168,10 +176,10 @@
 		d.longest = max(d.longest, again.Longest)
 		d.boot.Deployment, d.boot.Known.Of, switched = again.Deployment, again.Known.Of, true
 	}
+	var from *protocol.Listing // nil: the version in hand
 	if switched && moved {
-		d.watch.Rewind(again.Discovery, again.Known)
-	} else {
-		d.watch.Move(again.Discovery)
+		from = &again.Known
 	}
+	d.watch.Move(again.Discovery, from)
 	return switched, nil
 }
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -218,6 +218,13 @@
 	s.quiet.Close()
 }
 
+// Open counts the clients' connections. One on its way out makes room for one, and is left out.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) - int(s.leaving.Load())
+}
+
 func (s *Server) all() []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -258,10 +265,9 @@
 	s.conns[c] = struct{}{}
 	s.count.Accepted++
 	s.count.Peak = max(s.count.Peak, len(s.conns))
-	n := len(s.conns) - int(s.leaving.Load()) // one on its way out makes room for one
 	s.mu.Unlock()
 	// Guards against running out of descriptors: unused connections go before new ones would fail.
-	if over := n + s.others.Open() - s.limits.Most; over > 0 {
+	if over := s.Open() + s.others.Open() - s.limits.Most; over > 0 {
 		s.Shorten(over)
 	}
 	return c
