Whoever asks late whether a client has left takes no byte of its next request; an end behind 16 KiB is seen

Seen: (1) a router held up past a client's time asks for that client while its connection already brings the next request: the asker takes bytes of it, later ones are read before them, and the request hangs or is garbled. (2) A client that sent 16 KiB or more ahead was never seen to leave, as net/http was given a byte and looked no further. TestLeavesBehindWhatItSent with 16 and 48 KiB ahead: "waited in vain for what is ahead".

Excluded: reading on beyond 16 KiB (memory by the number of connections), a number for each request (the request's context ends before its connection is free, and says the same).

Change: the question takes the request's context and is answered by it under the connection's lock once the handler has returned; beyond what is kept, the system is asked for the peer's end (poll, POLLRDHUP), only in that case. The call is renamed Departed.

Left: an end behind more than the system takes in unread has not come to this machine and cannot be seen.

--- a/internal/routing/tripper.go
+++ b/internal/routing/tripper.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return t.refuse(req, http.StatusBadRequest, err.Error())
 	}
-	f, err := t.r.search(req.Context(), s, came, func() bool { return clients.Left(req.Context()) })
+	f, err := t.r.search(req.Context(), s, came, func() bool { return clients.Departed(req.Context()) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/clients/conn.go
+++ b/internal/transport/clients/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Bounds on what a connection may still cost.
@@ -70,7 +72,7 @@
 		return 0, net.ErrClosed
 	case c.inHand && len(b) == 1 && c.raw != nil:
 		c.mu.Unlock()
-		n, err = c.attend(b)
+		err = c.attend()
 	case len(c.ahead) > 0:
 		n = c.next(b)
 		c.mu.Unlock()
@@ -112,37 +114,33 @@
 
 // attend waits for the client to leave while its request is in hand. net/http reads one byte for that, and once it has
 // one it looks no further: a client that leaves behind bytes of a next request would not be seen to have left. So these
-// are put aside, as far as the bound goes; beyond it we see no more than net/http does.
-func (c *conn) attend(b []byte) (n int, err error) {
+// are put aside, as far as the bound goes; beyond it the rest stays unread, and the system is asked for the end behind it.
+// net/http breaks the wait off once the request is answered.
+func (c *conn) attend() error {
+	var err error
 	for err == nil {
 		if bad := c.raw.Read(func(fd uintptr) bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
 			err = c.look(fd)
 			return err != syscall.EAGAIN
 		}); bad != nil {
-			return 0, bad
+			return bad
 		}
 	}
-	if err == errFull {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return c.next(b), nil
-	}
-	return 0, err
+	return err
 }
 
-var errFull = errors.New("more came ahead than is kept")
-
-// look puts aside what lies unread, without waiting. No error means that there may be more, EAGAIN that there is none.
+// look puts aside what lies unread, without waiting. No error means that there may be more, EAGAIN that nothing is there
+// that can be taken, and no end. The lock is held.
 func (c *conn) look(fd uintptr) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.end != nil {
 		return c.end
 	}
 	var buf [1024]byte
 	room := min(mostAhead-len(c.ahead), len(buf))
 	if room <= 0 {
-		return errFull
+		return c.behind(fd)
 	}
 	n, err := syscall.Read(int(fd), buf[:room])
 	switch {
@@ -160,28 +158,46 @@
 	return c.end
 }
 
-// left says whether the client has closed its connection, by what lies unread: after a pause of this process nobody may
-// have read it yet. It waits for nothing; a request has to be in hand.
-func (c *conn) left() bool {
+// behind says whether the client's end lies behind what is not taken: EAGAIN that it does not, as far as the system has
+// got. An end behind more than the system takes in unread has not come yet. The lock is held.
+func (c *conn) behind(fd uintptr) error {
+	ends := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	if n, err := unix.Poll(ends, 0); err != nil || n == 0 || ends[0].Revents&unix.POLLNVAL != 0 {
+		return syscall.EAGAIN
+	}
+	c.end = io.EOF
+	return c.end
+}
+
+// departed says whether the client has closed its connection, by what lies unread: after a pause of this process nobody may
+// have read it yet. It waits for nothing. A request that is over, whose connection may be in use for the next one, is told
+// by its context, which ends before that; guards against taking bytes of the next one.
+func (c *conn) departed(ctx context.Context) bool {
 	if c.raw == nil {
 		return false
 	}
 	for {
 		var err error
-		if c.raw.Control(func(fd uintptr) { err = c.look(fd) }) != nil {
+		if c.raw.Control(func(fd uintptr) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if err = ctx.Err(); err == nil {
+				err = c.look(fd)
+			}
+		}) != nil {
 			return true
 		}
 		if err != nil {
-			return err != syscall.EAGAIN && err != errFull
+			return err != syscall.EAGAIN
 		}
 	}
 }
 
-// Left says whether the client of a request that is in hand has closed its connection, though the request's context may
-// not have been told yet.
-func Left(ctx context.Context) bool {
+// Departed says whether the client of a request whose body was read whole has closed its connection, though the request's
+// context may not have been told yet; once the handler has returned, it says so, too.
+func Departed(ctx context.Context) bool {
 	c, ok := ctx.Value(key{}).(*conn)
-	return ok && c.left()
+	return ok && c.departed(ctx)
 }
 
 // take takes a request in hand. Guards against one whose answer has no way back: what had begun to come before the
--- a/internal/transport/clients/crossing_test.go
+++ b/internal/transport/clients/crossing_test.go
@@ -350,7 +350,7 @@
 // TestLeavesBehindWhatItSent: a client that leaves while its request is in hand is seen to have left, whatever it has sent
 // ahead before.
 func TestLeavesBehindWhatItSent(t *testing.T) {
-	for _, ahead := range []int{0, 1, len(text), mostAhead - 1} {
+	for _, ahead := range []int{0, 1, len(text), mostAhead - 1, mostAhead, 3 * mostAhead} {
 		b := newBench(t, nil)
 		left := make(chan error, 1)
 		b.does = func(r *http.Request) (*http.Response, error) {
@@ -367,7 +367,7 @@
 		io.WriteString(c, text)
 		b.until("the request", func() bool { return b.asked.Load() == 1 })
 		io.WriteString(c, strings.Repeat(text, ahead/len(text)+1)[:ahead])
-		b.until("what is ahead", func() bool { return b.every(1, func(c *conn) bool { return len(c.ahead) == ahead }) })
+		b.until("what is ahead", func() bool { return b.every(1, func(c *conn) bool { return len(c.ahead) == min(ahead, mostAhead) }) })
 		c.Close()
 		if err := <-left; err != nil {
 			t.Fatal(err)
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -124,7 +124,7 @@
 			rc.SetReadDeadline(time.Time{})
 			// Guards against sending on what nobody waits for: after a pause of this process a request and its client's
 			// end may both lie unread.
-			if c.left() {
+			if c.departed(ctx) {
 				leave()
 			}
 		}}
