One clock for how long a client counts as known to be there, from the turn to the connection

A pause between the turn's look through its sends and the connection's clock was not counted: the connection went by when it was asked. Each part now carries when its client was last known to be there, and both places go by that; so the two waits no longer add up either.

--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -166,17 +166,22 @@
 	return false
 }
 
-// doubtful says whether the client has to be asked for before this goes out: before every further attempt, as that is
-// rare and an answer that fails, or is late, tells nothing of the client, and before what was decided on, or waited for
-// being decided on, for longer than counts. A second step goes out in the turn that the first one ends in.
-func (ex *Exchange) doubtful(p *parts.Part, now, turn time.Time) bool {
-	switch {
-	case p.Try > 1:
-		return ex.known.Before(turn)
-	case p.At >= len(ex.search.Parts) && ex.known.Before(turn):
-		return now.Sub(turn) > parts.Certain
-	}
-	return now.Sub(ex.known) > parts.Certain
+// deserted says whether the client has closed its connection, and asks where that is in doubt: before every further
+// attempt, as those are rare and follow on what failed or was late, and before what was decided on, or stood in line for
+// that, for longer than counts. Of a second step that is since its turn began, which is the one that the first step ends in.
+func (ex *Exchange) deserted(p *parts.Part, now, turn time.Time) bool {
+	known := ex.known
+	if p.At >= len(ex.search.Parts) && known.Before(turn) {
+		known = turn
+	}
+	if p.Try > 1 && known.Before(turn) || now.Sub(known) > parts.Certain {
+		if ex.departed(now) {
+			return true
+		}
+		known = now
+	}
+	p.Known = known
+	return false
 }
 
 // agrees says whether a value may stand beside those that came before it in this step: all are texts, or
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -273,7 +273,7 @@
 	for _, at := range r.touched {
 		for _, p := range r.batches[at] {
 			ex := p.Owner.(*Exchange)
-			if !ex.ended && (p.Leave.Over() || ex.doubtful(p, now, r.turn) && ex.departed(now)) {
+			if !ex.ended && (p.Leave.Over() || ex.deserted(p, now, r.turn)) {
 				r.gone(ex) // where it is over, that word is on its way here
 			}
 		}
--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -307,7 +307,7 @@
 					if !p.Leave.Take() {
 						continue // its search has ended
 					}
-					if now.Sub(p.call.asked) > parts.Certain && p.Leave.Unwanted() {
+					if p.Deserted(now) {
 						p.Leave.Back()
 						c.drop(p)
 						late = append(late, p)
--- a/internal/transport/parts/parts.go
+++ b/internal/transport/parts/parts.go
@@ -32,6 +32,7 @@
 	Owner Owner
 	At    int // its index within the owner
 	Try   int
+	Known time.Time // when the client was last known to be there; stands from Ask on
 
 	Void bool // given up before it was asked; the back end's, as is what follows
 	Back any
@@ -82,9 +83,15 @@
 
 // Certain is for how long it counts that a client was there. What stands in line for longer, at the router or at a
 // connection, is sent only once its client has been asked for again: an attempt that begins 0.1 s after its client's
-// close is one too many, by the operators' page, and it may stand in two lines.
+// close is one too many, by the operators' page.
 const Certain = 20 * time.Millisecond
 
+// Deserted says that the client may have closed its connection since it was last known to be there, and has. It waits for
+// nothing, and asks only where that is long ago. Only between Take and Back.
+func (p *Part) Deserted(now time.Time) bool {
+	return now.Sub(p.Known) > Certain && p.Leave.Unwanted()
+}
+
 // Unwanted says that the client has closed its connection. It waits for nothing, and costs a system call.
 func (l *Leave) Unwanted() bool { return l.Departed != nil && l.Departed() }
 
