Flight leaves: what waited for its connection is not sent for a client that has closed unread

Seen: an attempt over Flight that waits for a handshake goes out whatever became of its client, where nobody has read the close yet. TestDepartedBeforeTheHandshake without the mend: "closes: true, ended as 0, wanted 7".

Change: once the stream is there and before its ticket is handed over, the client is asked for as at connections that speak frames; the stream is reset without its ticket, and the attempt is given back as never sent.

--- a/internal/transport/flightleaves/fetch.go
+++ b/internal/transport/flightleaves/fetch.go
@@ -85,6 +85,14 @@
 		e.How = How(status.Code(err), false, false, false)
 		return e, status.Code(err).String(), nil
 	}
+	if h.Deserted(time.Now()) { // the stream has come up late; without its ticket nothing runs
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		h.cancel()
+		h.back()
+		e.How = balance.Moot
+		return e, "moot", nil
+	}
 	t := &protocol.Table{}
 	held, begun := 0, false
 	t.Give = func() { f.limits.Room.Give(held) }
