A query gets its answer in its time though the router stands and its line is full

Seen: the guard on a router that is held up waited for the router's line itself, twice: before its clock began, and to say that the client's time is up. With the line full no answer came at all. TestAnsweredWhileTheRouterStands without the mend: "waited in vain for the answer of what is in hand".

Change: the clock runs from when the request was whole, a tick beyond the client's time so that the module's own end comes first, also while the query stands in line; what got its answer there is not taken. The word that a client's time is up, or that it has left, waits beside the answer, not before it.

Failed try: the clock exactly at the client's time. TestNothingAfterTheAnswer/time_is_up then got 504 in place of 503 once in two runs with -race on a loaded machine; with the tick, fifteen such runs of it passed.

--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -87,15 +87,22 @@
 	if err := ctx.Err(); err != nil {
 		return protocol.Final{}, err
 	}
-	if !r.post(func() {
-		if ctx.Err() == nil { // else its client left while it stood in line
+	timer := time.NewTimer(time.Until(ex.until) + r.tick) // a tick for the module's own end to get here first
+	defer timer.Stop()
+	take := func() {
+		if ctx.Err() == nil && time.Now().Before(ex.until) { // else its client left while it stood in line, or has its answer
 			r.take(ex)
 		}
-	}) {
+	}
+	select { // guards against giving no answer in time where the router is held up and its line is full
+	case r.calls <- take:
+	case <-r.ended:
 		return protocol.Final{How: protocol.Stopped}, nil
+	case <-ctx.Done():
+		return protocol.Final{}, ctx.Err()
+	case <-timer.C:
+		return protocol.Final{How: protocol.Late}, nil
 	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
 	select {
 	case v := <-ex.done:
 		return ex.let(v), nil
@@ -151,10 +158,15 @@
 }
 
 // gone says that the client has left, or that its time is up. Nothing goes out for it from here on, though the router
-// may stand, or its line be full.
+// may stand, or its line be full; and no answer waits for that line.
 func (ex *Exchange) gone() {
 	ex.leave.Withdraw()
-	ex.r.post(func() { ex.r.gone(ex) })
+	word := func() { ex.r.gone(ex) }
+	select {
+	case ex.r.calls <- word:
+	default:
+		go ex.r.post(word)
+	}
 }
 
 // departed asks whether the client has closed its connection, though nobody may have been told of it yet.
