Nodes' connections tell their owners before they write the log, and never log under the fleet's lock

Seen: a log that nobody takes anything from holds back the end of every attempt on a connection that ended, and, where a node's bytes could not be used, the fleet's lock and with it the router, so that no query gets an answer.

Change: both lines are written last, without the lock. A log that stands still holds up the goroutine that writes.

--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -33,6 +33,7 @@
 	sock           net.Conn
 	up, closed     bool
 	code           string
+	spoilt         error // what the node's bytes could not be used for
 	made, usedAt   time.Time
 	readAt, busyAt time.Time // the last bytes in, none yet if zero; since when something has been out
 	askedAt        time.Time // the first call since the last bytes in; none if zero
@@ -200,7 +201,7 @@
 			}
 		}
 	}
-	backs, given, code := c.probes, c.given, c.code
+	backs, given, code, spoilt := c.probes, c.given, c.code, c.spoilt
 	c.probes, c.given, c.queue, c.parts = nil, nil, nil, nil
 	for _, p := range left {
 		p.conn = nil
@@ -211,12 +212,6 @@
 	f.measure()
 	life := time.Since(c.made)
 	f.mu.Unlock()
-	entry := f.log.WithField("side", "node").WithField("peer", c.peer.addr).WithField("code", code).
-		WithField("parts", len(left)).WithField("ms", life.Milliseconds())
-	if err != nil {
-		entry = entry.WithError(err)
-	}
-	entry.Info("connection ended")
 	for _, p := range left {
 		p.End(p.broken())
 	}
@@ -226,6 +221,16 @@
 	for _, b := range backs {
 		b(false)
 	}
+	// Last of all, as a log that cannot be written would hold up the rest.
+	if spoilt != nil {
+		f.log.WithField("peer", c.peer.addr).WithError(spoilt).Warn("a node's frame could not be used")
+	}
+	entry := f.log.WithField("side", "node").WithField("peer", c.peer.addr).WithField("code", code).
+		WithField("parts", len(left)).WithField("ms", life.Milliseconds())
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("connection ended")
 }
 
 func (c *conn) dial() (code string, err error) {
@@ -466,7 +471,7 @@
 		code = "misread"
 	}
 	if !c.closed && (bad != nil || ref != nil) {
-		f.log.WithField("peer", c.peer.addr).WithError(err).Warn("a node's frame could not be used")
+		c.spoilt = err
 	}
 	c.close(code)
 }
