--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -157,10 +157,9 @@
 	ex.r.post(func() { ex.r.reply(ex, at, try, e) })
 }
 
-// gone says that the client has left, or that its time is up. Nothing goes out for it from here on, though the router
-// may stand, or its line be full; and no answer waits for that line.
+// gone says that the client has left, or that its time is up. It waits for nothing, though the router may stand and its line
+// be full: the permission to send is taken back next, and an answer may be due.
 func (ex *Exchange) gone() {
-	ex.leave.Withdraw()
 	word := func() { ex.r.gone(ex) }
 	select {
 	case ex.r.calls <- word:
