Tests of pauses wait until the process stands

SIGSTOP is only asked for: on a loaded machine the process ran on, and rightly served what came before it stood.

Change: the tests wait until the system says of every thread that it is stopped; what they want is as it was.

--- a/cmd/brackenfront/crossing_test.go
+++ b/cmd/brackenfront/crossing_test.go
@@ -166,7 +166,7 @@
 				rest = append(rest, c)
 			}
 			before, _ := p.got()
-			p.cmd.Process.Signal(syscall.SIGSTOP)
+			p.pause()
 			for i, c := range rest {
 				p.request("all", search(1)).Write(c)
 				if i%2 == 1 {
--- a/cmd/brackenfront/departed_test.go
+++ b/cmd/brackenfront/departed_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +27,30 @@
 	return n
 }
 
+// pause stops the process, and waits until all of its threads stand: the signal is only asked for, and what comes before
+// it is acted on may rightly be served.
+func (p *program) pause() {
+	p.t.Helper()
+	p.cmd.Process.Signal(syscall.SIGSTOP)
+	for end := time.Now().Add(patience); !p.stands(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatal("the process does not stop")
+		}
+	}
+}
+
+// stands says whether every thread of the process is stopped, by the system's word.
+func (p *program) stands() bool {
+	stats, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	for _, name := range stats {
+		raw, err := os.ReadFile(name)
+		if _, after, found := strings.Cut(string(raw), ") "); err != nil || !found || after[0] != 'T' {
+			return false
+		}
+	}
+	return len(stats) > 0
+}
+
 // clients sends so many queries, each on a connection of its own.
 func (p *program) clients(n int, kind string, shards ...int) (all []net.Conn) {
 	for range n {
@@ -43,7 +71,7 @@
 		all := p.clients(leave, "all", 1)
 		stay := p.raw(p.request("all", search(1)))
 		p.out(1, len(before)+leave+1)
-		p.cmd.Process.Signal(syscall.SIGSTOP)
+		p.pause()
 		p.note(func() {
 			for _, n := range p.nodes {
 				n.does = always("hit")
