--- a/internal/program/daemon.go
+++ b/internal/program/daemon.go
@@ -34,8 +34,8 @@
 	watch       *watch.Watch
 	server      *clients.Server
 	room        func(more int) int // closes unused connections (descriptors.room)
-	flightDoor  Door  // nil without Flight
-	fleet       Party // nil where this process takes part in none
+	flightDoor  Door               // nil without Flight
+	fleet       Party              // nil where this process takes part in none
 	requests    fleetRequests
 
 	served      chan error    // a frontend has ended
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -40,7 +40,7 @@
 	until  time.Time    // the client waits no longer
 	done   chan verdict // the final answer; holds one
 	leave  parts.Leave  // what its parts may go out by
-	left   func() bool  // asks whether the client has left, without waiting; nil where the door cannot be asked
+	known  time.Time    // when its client was last known to be there
 
 	q      *balance.Search
 	pieces []*piece
@@ -82,19 +82,27 @@
 // search is Search by a door that can be asked whether the client has left before the context tells.
 func (r *Router) search(ctx context.Context, s *protocol.Search, came time.Time, gone func() bool) (protocol.Final, error) {
 	left := time.Duration(min(s.Left, s.Under.Longest.Seconds()) * float64(time.Second))
-	ex := &Exchange{r: r, search: s, until: came.Add(left), done: make(chan verdict, 1), left: gone}
+	ex := &Exchange{r: r, search: s, until: came.Add(left), done: make(chan verdict, 1), known: came}
+	ex.leave.Departed = gone
 	if err := ctx.Err(); err != nil {
 		return protocol.Final{}, err
 	}
-	if !r.post(func() {
-		if ctx.Err() == nil { // else its client left while it stood in line
+	timer := time.NewTimer(time.Until(ex.until) + r.tick) // a tick for the module's own end to get here first
+	defer timer.Stop()
+	take := func() {
+		if ctx.Err() == nil && time.Now().Before(ex.until) { // else its client left while it stood in line, or has its answer
 			r.take(ex)
 		}
-	}) {
+	}
+	select { // guards against giving no answer in time where the router is held up and its line is full
+	case r.calls <- take:
+	case <-r.ended:
 		return protocol.Final{How: protocol.Stopped}, nil
+	case <-ctx.Done():
+		return protocol.Final{}, ctx.Err()
+	case <-timer.C:
+		return protocol.Final{How: protocol.Late}, nil
 	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
 	select {
 	case v := <-ex.done:
 		return ex.let(v), nil
@@ -149,8 +157,43 @@
 	ex.r.post(func() { ex.r.reply(ex, at, try, e) })
 }
 
-// gone says that the client has left, or that its time is up.
-func (ex *Exchange) gone() { ex.r.post(func() { ex.r.gone(ex) }) }
+// gone says that the client has left, or that its time is up. It waits for nothing, though the router may stand and its line
+// be full: the permission to send is taken back next, and an answer may be due.
+func (ex *Exchange) gone() {
+	word := func() { ex.r.gone(ex) }
+	select {
+	case ex.r.calls <- word:
+	default:
+		go ex.r.post(word)
+	}
+}
+
+// departed asks whether the client has closed its connection, though nobody may have been told of it yet.
+func (ex *Exchange) departed(now time.Time) bool {
+	if ex.leave.Unwanted() {
+		return true
+	}
+	ex.known = now
+	return false
+}
+
+// deserted says whether the client has closed its connection, and asks where that is in doubt: before every further
+// attempt, as those are rare and follow on what failed or was late, and before what was decided on, or stood in line for
+// that, for longer than counts. Of a second step that is since its turn began, which is the one that the first step ends in.
+func (ex *Exchange) deserted(p *parts.Part, now, turn time.Time) bool {
+	known := ex.known
+	if p.At >= len(ex.search.Parts) && known.Before(turn) {
+		known = turn
+	}
+	if p.Try > 1 && known.Before(turn) || now.Sub(known) > parts.Certain {
+		if ex.departed(now) {
+			return true
+		}
+		known = now
+	}
+	p.Known = known
+	return false
+}
 
 // agrees says whether a value may stand beside those that came before it in this step: all are texts, or
 // tables of one schema. Guards against an answer garbled from tables that do not fit together.
--- a/internal/transport/nodes/conn.go
+++ b/internal/transport/nodes/conn.go
@@ -33,6 +33,7 @@
 	sock           net.Conn
 	up, closed     bool
 	code           string
+	spoilt         error // what the node's bytes could not be used for
 	made, usedAt   time.Time
 	readAt, busyAt time.Time // the last bytes in, none yet if zero; since when something has been out
 	askedAt        time.Time // the first call since the last bytes in; none if zero
@@ -200,7 +201,7 @@
 			}
 		}
 	}
-	backs, given, code := c.probes, c.given, c.code
+	backs, given, code, spoilt := c.probes, c.given, c.code, c.spoilt
 	c.probes, c.given, c.queue, c.parts = nil, nil, nil, nil
 	for _, p := range left {
 		p.conn = nil
@@ -211,12 +212,6 @@
 	f.measure()
 	life := time.Since(c.made)
 	f.mu.Unlock()
-	entry := f.log.WithField("side", "node").WithField("peer", c.peer.addr).WithField("code", code).
-		WithField("parts", len(left)).WithField("ms", life.Milliseconds())
-	if err != nil {
-		entry = entry.WithError(err)
-	}
-	entry.Info("connection ended")
 	for _, p := range left {
 		p.End(p.broken())
 	}
@@ -226,6 +221,16 @@
 	for _, b := range backs {
 		b(false)
 	}
+	// Last of all, as a log that cannot be written would hold up the rest.
+	if spoilt != nil {
+		f.log.WithField("peer", c.peer.addr).WithError(spoilt).Warn("a node's frame could not be used")
+	}
+	entry := f.log.WithField("side", "node").WithField("peer", c.peer.addr).WithField("code", code).
+		WithField("parts", len(left)).WithField("ms", life.Milliseconds())
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("connection ended")
 }
 
 func (c *conn) dial() (code string, err error) {
@@ -293,7 +298,7 @@
 			switch {
 			case o.call != nil:
 				var asked []protocol.Asked
-				var parts []*held
+				var taken []*held
 				for i := range o.call.parts {
 					p := &o.call.parts[i]
 					if p.conn != c {
@@ -307,17 +312,23 @@
 					if !p.Leave.Take() {
 						continue // its search has ended
 					}
+					if p.Deserted(now) {
+						p.Leave.Back()
+						c.drop(p)
+						late = append(late, p)
+						continue
+					}
 					c.parts[p.ID] = p
 					c.hand = append(c.hand, p)
 					p.hand = true
-					parts = append(parts, p)
+					taken = append(taken, p)
 					asked = append(asked, protocol.Asked{ID: p.ID, Shard: p.Shard, Extra: p.Extra, Text: p.Text,
 						Wait: time.Until(p.Until).Seconds()})
 				}
 				if len(asked) > 0 {
 					buf = protocol.AppendCall(buf, asked)
-					marks = append(marks, mark{len(buf), parts})
-					f.count.Parts += len(parts)
+					marks = append(marks, mark{len(buf), taken})
+					f.count.Parts += len(taken)
 				}
 			case o.probe:
 				buf = protocol.AppendProbe(buf)
@@ -460,7 +471,7 @@
 		code = "misread"
 	}
 	if !c.closed && (bad != nil || ref != nil) {
-		f.log.WithField("peer", c.peer.addr).WithError(err).Warn("a node's frame could not be used")
+		c.spoilt = err
 	}
 	c.close(code)
 }
