--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -477,9 +477,9 @@
 }
 
 func TestFailingZoneIsLeftAsAWhole(t *testing.T) {
-	terms, nodes := plainTerms()
+	terms, _ := plainTerms()
 	terms.Cells, terms.Shards = 10, 10
-	nodes = nil
+	var nodes []Listed
 	for i := range 20 { // each shard has a near and a far holder
 		nodes = append(nodes, Listed{Node: i, Cell: i % 10, Zone: i / 10, Rank: min(i/10, 1)})
 	}
--- a/halls/worlds_test.go
+++ b/halls/worlds_test.go
@@ -53,13 +53,13 @@
 var kinds = []string{"cold", "half", "cut", "probes only", "slow", "flaps", "fast flaps", "one by one"}
 
 type machine struct {
-	hall          int
-	up            bool
-	born          float64 // cold from here on
-	fell          bool
-	sent          [int(fallTime / tick)]float64
-	worst         float64 // the most that it got in such a time, by what would make it fall
-	listed, named bool
+	hall   int
+	up     bool
+	born   float64 // cold from here on
+	fell   bool
+	sent   [int(fallTime / tick)]float64
+	worst  float64 // the most that it got in such a time, by what would make it fall
+	listed bool
 }
 
 type event struct {
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -35,7 +35,6 @@
 	writes  map[string]chan error // notes under way
 	slow    bool
 	closing bool
-	pause   time.Duration
 	again   time.Time // no dial before
 }
 
--- a/internal/fleet/council/worlds_test.go
+++ b/internal/fleet/council/worlds_test.go
@@ -136,7 +136,6 @@
 	level    uint64  // entries between snapshots
 	habit    float64 // seconds between what a client asks
 	faults   float64 // until then
-	drawn    byte
 	ids      uint64
 	names    []string
 	places   []int
@@ -441,10 +440,9 @@
 	msgs, replies := slices.Clone(out.Messages), slices.Clone(out.Replies)
 	news, stirred := slices.Clone(out.News), slices.Clone(out.Stirred)
 	m.Clear()
-	for k, msg := range msgs {
+	for _, msg := range msgs {
 		if w.now < w.faults && w.chance(0.0005) { // between two messages
 			w.stop(i, 0.2+w.rnd.Next())
-			msgs = msgs[:k]
 			return
 		}
 		raw, to := marshal(msg), w.where[msg.GetTo()]
--- a/internal/fleetrig/rig_test.go
+++ b/internal/fleetrig/rig_test.go
@@ -105,7 +105,7 @@
 				t.Fatal(err)
 			}
 			found = c.finds(res)
-			t.Log(fmt.Sprintf("seed %d: %d rights at once, %d bad acts of %d", p.Seed, len(res.Rights), len(res.Acts), res.Count))
+			t.Logf("seed %d: %d rights at once, %d bad acts of %d", p.Seed, len(res.Rights), len(res.Acts), res.Count)
 			if !c.want {
 				break
 			}
--- a/internal/simwire/frame.go
+++ b/internal/simwire/frame.go
@@ -52,11 +52,6 @@
 	return
 }
 
-func (f *frame) flag(i int, field string) (v bool) {
-	f.read(i, field, "true or false", &v)
-	return
-}
-
 // absent tells whether an optional value was left out.
 func (f *frame) absent(i int) bool {
 	return i >= len(f.values) || string(f.values[i]) == "null" || string(f.values[i]) == "0"
--- a/internal/transport/clients/framing_fuzz_test.go
+++ b/internal/transport/clients/framing_fuzz_test.go
@@ -27,10 +27,10 @@
 var (
 	startLine = regexp.MustCompile("\\A(?:\r\n)*([-!#$%&'*+.^_`|~0-9A-Za-z]+) ([^\x00-\x20\x7f]+) HTTP/1\\.([0-9])\r\n")
 	fieldLine = regexp.MustCompile("\\A([-!#$%&'*+.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)\r\n")
-	oneLength = regexp.MustCompile("\\A[0-9]+\\z")
-	oneCoding = regexp.MustCompile("\\A[cC][hH][uU][nN][kK][eE][dD]\\z")
+	oneLength = regexp.MustCompile(`\A[0-9]+\z`)
+	oneCoding = regexp.MustCompile(`\A[cC][hH][uU][nN][kK][eE][dD]\z`)
 	chunkLine = regexp.MustCompile("\\A([0-9A-Fa-f]{1,16})(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
-	noTrailer = regexp.MustCompile("\\A(content-length|transfer-encoding|host)\\z")
+	noTrailer = regexp.MustCompile(`\A(content-length|transfer-encoding|host)\z`)
 )
 
 const (
--- a/internal/transport/flightleaves/link.go
+++ b/internal/transport/flightleaves/link.go
@@ -15,7 +15,6 @@
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"brackenfront/balance"
 	"brackenfront/internal/protocol"
 	"brackenfront/internal/transport/parts"
 )
@@ -296,11 +295,3 @@
 		l.cc.Close()
 	}()
 }
-
-// ran is how a part ends whose stream broke: it never ran only if its request has not left whole.
-func (h *held) ran() balance.Outcome {
-	if h.left {
-		return balance.Dropped
-	}
-	return balance.Unreached
-}
--- a/measure/budgets/main.go
+++ b/measure/budgets/main.go
@@ -41,7 +41,6 @@
 	type total struct {
 		bad, units, held int
 		over, stock      float64
-		rate             float64
 	}
 	play := func(part string, n int) (t total) {
 		t.over, t.stock = -1e9, -1e9
