--- a/internal/fleetrig/rig_test.go
+++ b/internal/fleetrig/rig_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"os"
 	"strconv"
 	"strings"
