A broker that let no search go for the shortest target lets the next

Seen (virtual time): nodes fall silent for 2 to 8 s, one class's target is ten times the shortest. Afterwards a broker turned everything away for 47.9 to 52.2 s on end, its nodes well.

Cause: in judge the rate falls while nothing comes back, also where that is because all is turned away. So memory grows to its 20 s (1.5 s before, 7.6 s in the silence, 20 s five seconds after it), n.lat (1.5 s, by the slow class) rises again from 0.65 to 1.12 s as it fades by the longer memory, and unlucky sheds all by it. No send, no outcome, nothing to replace it. Sub-requests of the slow class that were lost add their age in lag until their clients' time is up.

Excluded: sick nodes (none was), the cap and the slack (flying 0 of 2.0; 0.97 to 1.00).

--- /dev/null
+++ b/balance/starved_test.go
@@ -0,0 +1,99 @@
+package balance
+
+import "testing"
+
+// TestSilenceThatIsOverStarvesNobody: nodes fall silent for some seconds, what they got then stays without an answer until
+// its client's time is up, and one class's target is ten times the shortest. A broker that goes by what it saw then and turns
+// everything away hears of nothing newer, while it forgets the slower the less it hears. It may go without an attempt until
+// parts of the slowest class count as hung and leave the cap, and for the shortest target more; then its next search goes.
+func TestSilenceThatIsOverStarvesNobody(t *testing.T) {
+	const shortest, longest = 0.5, 5.0
+	for _, day := range []struct {
+		silence, searchesPerSecond float64
+		silentNodes                int
+	}{{2, 8, 3}, {4, 8, 3}, {8, 8, 4}, {8, 16, 4}, {8, 4, 4}, {8, 1, 4}} {
+		terms, nodes := plainTerms()
+		terms.Brokers = 30
+		terms.Types = []QueryType{{Target: shortest, Timeout: 2, Value: 1, Need: 1, Least: 1, Window: 1},
+			{Target: longest, Timeout: 3 * longest, Value: 1, Need: 1, Least: 1, Window: 1}}
+		w := newWorld(t, terms, nodes)
+		silentFrom, silentTo, between := w.now+40, w.now+40+day.silence, 1/day.searchesPerSecond
+		bound := better*longest + shortest + between + w.b.period
+		lost := func(p *piece) bool { return p.node < day.silentNodes && p.sent >= silentFrom && p.sent < silentTo }
+		nextSearch, lastAttempt, longestGap := w.now, w.now, 0.0
+		attempts, turnedAway, turnedAwayInGap := 0, 0, 0
+		for searches := 0; w.now < silentTo+60; {
+			w.pass(0.01)
+			w.answer(0.1, lost)
+			if w.now >= nextSearch {
+				kind := searches % len(terms.Types)
+				w.ask(kind, terms.Types[kind].Timeout, 0, 1)
+				searches, nextSearch = searches+1, nextSearch+between
+			}
+			if gap := w.now - lastAttempt; gap > longestGap {
+				longestGap, turnedAwayInGap = gap, w.shed-turnedAway
+			}
+			if w.sends > attempts {
+				attempts, lastAttempt, turnedAway = w.sends, w.now, w.shed
+			}
+		}
+		if longestGap > bound {
+			t.Errorf("%d nodes silent for %g s, %g searches a second: no attempt for %.1f s, %d turned away in them; at most %.1f s",
+				day.silentNodes, day.silence, day.searchesPerSecond, longestGap, turnedAwayInGap, bound)
+		}
+	}
+}
+
+// TestStaleLatenessLetsOneSearchGo: with nothing let go for the shortest target one search goes, the next not yet.
+func TestStaleLatenessLetsOneSearchGo(t *testing.T) {
+	w := plain(t, 4)
+	w.reply(w.ask(0, 4, 0), 0, OK)
+	for range 5 {
+		for i := range w.b.nodes {
+			w.b.nodes[i].lat, w.b.nodes[i].latAt = 10, w.now
+		}
+		w.pass(w.b.tight + w.b.period)
+		sent := w.sends
+		if a := w.ask(0, 4, 0); w.sends != sent+1 {
+			t.Fatal("nothing was sent for the shortest target, and a search was turned away")
+		} else if w.ask(0, 4, 0); w.sends != sent+1 {
+			t.Fatal("a second search went at once, by nodes that are late")
+		} else {
+			w.reply(a, 0, OK)
+		}
+	}
+}
+
+// answer ends what is out: by an answer after so long unless it is lost, else when it was cancelled or its search has ended.
+func (w *world) answer(after float64, lost func(*piece) bool) {
+	waiting := w.asks[:0]
+	for _, a := range w.asks {
+		keep := !a.ended
+		for i, p := range a.parts {
+			switch {
+			case p.out && p.cancelled || p.out && a.ended && lost(p):
+				w.reply(a, i, Cancelled)
+			case p.out && w.now >= p.sent+after && !lost(p):
+				w.reply(a, i, OK)
+			}
+			keep = keep || p.out
+		}
+		if keep {
+			waiting = append(waiting, a)
+		}
+	}
+	w.asks = waiting
+}
+
+// TestStrainOfHallsStillSheds: what a lost hall's load may take elsewhere ends, however long ago a search was let go.
+func TestStrainOfHallsStillSheds(t *testing.T) {
+	w, _, _ := withoutThird(t)
+	before := w.shed
+	for range 6 {
+		w.b.letAt, w.b.slack = 0, 0.5
+		if w.ask(0, 4, 0, 1, 2, 3); w.shed > before {
+			return
+		}
+	}
+	t.Fatal("the room that is left is used up, and none was shed")
+}
