Refusals before the bound on reading, and heads the framing does not know, have tests

Two guards of the framing were held by no short test. And no bytes are known that make conn.framed disagree, so nothing found it taken out; TestHeadThatIsNone has the framing's head told before.

--- a/internal/transport/clients/framing_fuzz_test.go
+++ b/internal/transport/clients/framing_fuzz_test.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -365,6 +366,56 @@
 	}
 }
 
+// refused reads one answer, which has to be 400 and its connection's last.
+func (b *bench) refused(r *bufio.Reader) {
+	b.Helper()
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != http.StatusBadRequest || !res.Close {
+		b.Fatalf("answered with %s, the last: %t, %v", res.Status, res.Close, err)
+	}
+	b.ended(r)
+	if n := b.asked.Load(); n != 0 {
+		b.Fatalf("%d requests went on", n)
+	}
+}
+
+// TestRefusedAtOnce: a client that sends a head that is refused, and then waits, is answered before the bound on reading is
+// over. net/http passes over one error of a read behind half a line.
+func TestRefusedAtOnce(t *testing.T) {
+	b := newBench(t, nil)
+	go b.Serve()
+	c, answers := b.dial()
+	line, rest, _ := strings.Cut(text, "\r\n\r\n")
+	io.WriteString(c, line)
+	b.until("half a line", func() bool { return b.every(1, func(c *conn) bool { return c.begun }) })
+	io.WriteString(c, "\n\n"+rest)
+	b.refused(answers)
+}
+
+// TestHeadThatIsNone: where the HTTP library reads a head that the framing does not know of, nothing is sent on. No bytes
+// are known that have it do so; here the framing has told the only head before the server asks for it.
+func TestHeadThatIsNone(t *testing.T) {
+	b := newBench(t, nil)
+	b.http.ConnState = func(sock net.Conn, to http.ConnState) {
+		if b.state(sock, to); to == http.StateActive {
+			c := sock.(*conn)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if !c.framing.Head(int64(len("hello"))) {
+				t.Error("the head has not been accepted")
+			}
+		}
+	}
+	go b.Serve()
+	c, answers := b.dial()
+	io.WriteString(c, text)
+	b.refused(answers)
+	b.until("its end", func() bool { return b.Counts().Codes["framing"] == 1 })
+}
+
 // FuzzRequestFraming: whatever a connection brings, in one piece, in two and in many, every request that reaches the
 // transport is one that the reference reader finds, in that order and with that body.
 func FuzzRequestFraming(f *testing.F) {
