--- a/internal/protocol/framing.go
+++ b/internal/protocol/framing.go
@@ -138,7 +138,7 @@
 }
 
 // Ended says whether the request that came last has come whole.
-func (f *RequestFraming) Ended() bool { return f.state == atEnd }
+func (f *RequestFraming) Ended() bool { return f.err == nil && f.state == atEnd }
 
 // Err is the error that ended the connection's requests, if one did.
 func (f *RequestFraming) Err() error { return f.err }
