--- a/balance/balance.go
+++ b/balance/balance.go
@@ -187,8 +187,13 @@
 // again: may a part that came back without an answer be sent once more, now or later?
 func (b *Broker) again(p *part) bool {
 	k := p.q.kind
-	return p.tries < b.tries &&
-		(p.mayRun < 0 || k.effect == Idempotent || k.effect == Tokened && b.now < p.mayRun+k.window)
+	switch {
+	case p.tries >= b.tries:
+		return false
+	case p.mayRun < 0 || k.effect == Idempotent:
+		return true
+	}
+	return k.effect == Tokened && b.now < p.mayRun+k.window
 }
 
 // coming is the weight that is in or on its way and not overdue.
@@ -301,7 +306,6 @@
 			q.quit()
 			return true
 		}
-		b.letAt = b.now
 	}
 	coming, limit := q.coming(), overdue*k.aim
 	for pass := range 2 {
@@ -531,8 +535,7 @@
 	scale := b.slack * math.Pow(q.value/b.worth+1e-9, shedTilt)
 	from, full := shedFrom*scale, shedFull*scale
 	// The shortest target measures the strain for all: else types with long ones would take the room.
-	rounds := max(1, (float64(b.flying)+float64(len(q.parts)))/b.cap) // through the cap
-	wait *= rounds
+	wait *= max(1, (float64(b.flying)+float64(len(q.parts)))/b.cap) // in so many rounds through the cap
 	used := (b.now - q.born + wait) / b.tight
 	if k.fetch > 0 {
 		wait *= 2
@@ -541,9 +544,7 @@
 	used = max(used, strain) // what a lost hall's load may take elsewhere ends, the cheap searches' first
 	// Spare parts pay while reply times are random; when all nodes are slow they are real work.
 	q.thrifty = used > thrift
-	// Guards against turning all away for what was seen long ago: who sends nothing hears of nothing newer.
-	// Who let none go for the shortest target lets the next, if the cap has room and no halls are strained.
-	return b.rand.Next() < (used-from)/(full-from) && (rounds > 1 || strain > from || b.now < b.letAt+b.tight)
+	return b.rand.Next() < (used-from)/(full-from)
 }
 
 // heard takes in an answer.
--- a/balance/state.go
+++ b/balance/state.go
@@ -83,7 +83,6 @@
 	guard, period     float64
 	sweepAt, judgeAt  float64
 	pace              float64 // the same of the whole fleet
-	letAt             float64 // when a search was last let go, not turned away by chance
 	away              float64 // how long this process was held up before this turn
 	wakeAt            float64
 	asked, watching   bool
