The watch starts once all who share the descriptors are known; room for the council beside 1,024 brokers

Cause: with the watch sharing the descriptors, its first dial read the list of frontends while Flight's was put there.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -58,15 +58,15 @@
 
 // Bounds on what others may hold here. Each is for a fleet of 1,024 brokers at the least; what they hold is taken as it comes.
 const (
-	mostConns   = 4096     // from other brokers at once
-	mostShaking = 1024     // of them that have not shown a key yet: all brokers come at once to a new leader
-	mostHeard   = 1024     // brokers that say that they have a disk of the council
-	mostDisks   = 1024     // that are known by how far they have been
-	mostListed  = 1024     // leases in one answer
-	mostClient  = 1 << 20  // bytes of a frame from, or to, a broker without a seat
-	mostPeer    = 64 << 20 // bytes of a frame between seats, or to an operator's command
-	queued      = 256      // frames that wait for one connection; beyond, it is closed
-	inboxed     = 1024     // calls that wait for a goroutine; beyond, whoever calls waits
+	mostConns   = 4096      // from other brokers at once
+	mostShaking = 1024 + 64 // of them that have not shown a key yet: all brokers come at once to a new leader, and its council
+	mostHeard   = 1024      // brokers that say that they have a disk of the council
+	mostDisks   = 1024      // that are known by how far they have been
+	mostListed  = 1024      // leases in one answer
+	mostClient  = 1 << 20   // bytes of a frame from, or to, a broker without a seat
+	mostPeer    = 64 << 20  // bytes of a frame between seats, or to an operator's command
+	queued      = 256       // frames that wait for one connection; beyond, it is closed
+	inboxed     = 1024      // calls that wait for a goroutine; beyond, whoever calls waits
 )
 
 // Node is this process in the fleet.
--- a/internal/program/daemon.go
+++ b/internal/program/daemon.go
@@ -57,6 +57,7 @@
 	if err := d.listen(connections); err != nil {
 		return nil, err
 	}
+	d.follow()
 	return d, d.joinFleet()
 }
 
@@ -76,6 +77,15 @@
 	return nil
 }
 
+// follow has the list of nodes followed, once all are known that share the descriptors with the watch.
+func (d *daemon) follow() {
+	if d.boot.Terms.Asked {
+		d.router.Follow(d.watch.Start)
+	} else {
+		d.watch.Start()
+	}
+}
+
 // listen opens the frontends, and has all connections share the descriptors.
 func (d *daemon) listen(connections *sharedConnections) (err error) {
 	most := d.boot.Sockets - reservedDescriptors(d.boot.Sockets)
@@ -88,11 +98,6 @@
 	d.room = limited.room
 	d.nodes.Share(d.room)
 	d.watch.Share(d.room)
-	if d.boot.Terms.Asked {
-		d.router.Follow(d.watch.Start)
-	} else {
-		d.watch.Start()
-	}
 	if d.flightNodes != nil {
 		d.flightNodes.Share(d.room)
 	}
