--- a/review/kit/node.go
+++ b/review/kit/node.go
@@ -43,8 +43,11 @@
 	listener net.Listener
 	// work is how long a part takes.
 	work time.Duration
-	// onPart is called for each part that begins to run.
+	// onPart is called for each part that comes.
 	onPart func(Part)
+	// TurnAway, if it is set before the first part comes, says whether a part is turned away unseen, as by a node whose queue is
+	// full; that takes as long as the work on a part.
+	TurnAway func(Part) bool
 }
 
 // NewNode starts a node on a free loopback port. onPart is called for each part before it is answered.
@@ -122,11 +125,14 @@
 				mu.Unlock()
 				go func() {
 					n.onPart(part)
+					turnedAway := n.TurnAway != nil && n.TurnAway(part)
 					time.Sleep(n.work)
 					mu.Lock()
 					dropped := givenUp[part.ID]
 					mu.Unlock()
-					if !dropped {
+					if turnedAway {
+						send('E', part.ID+" overload 0 -\n")
+					} else if !dropped {
 						send('E', fmt.Sprintf("%s hit %d -\n%s", part.ID, 1000+part.Shard, Value(part.ID, part.Shard, part.Text)))
 					}
 				}()
