--- a/cmd/brackenfront/input_test.go
+++ b/cmd/brackenfront/input_test.go
@@ -80,6 +80,8 @@
 		{400, "buckets[1].bucket: expected", broker.newRequest("all", searchBody(2, 2))},
 		{400, "buckets[0].part: expected", broker.newRequest("all", body(`{"bucket":0,"part":1.5}`, `,"body":"x"`))},
 		{400, "buckets[0].part: expected", broker.newRequest("all", body(`{"bucket":0}`, `,"body":"x"`))},
+		{400, "buckets: expected weights that add up to 1", broker.newRequest("all", body(one+`,{"bucket":1,"part":1}`, `,"body":"x"`))},
+		{400, "buckets: expected weights that add up to 1", broker.newRequest("any", body(`{"bucket":0,"part":0.8}`, `,"body":"x"`))},
 		{413, "body: expected 65536", broker.newRequest("all", strings.Repeat(" ", 70_000))},
 	} {
 		if a := broker.roundTrip(c.request); a.Status != c.status || !strings.HasPrefix(a.Error, c.message) {
@@ -97,7 +99,7 @@
 	if c := broker.counters("clients"); c["accepted"] > 3 {
 		t.Errorf("bad requests cost connections: %v", c)
 	}
-	if s := broker.counters("searches"); s["bad"] != 22 || s["taken"] != 1 {
+	if s := broker.counters("searches"); s["bad"] != 24 || s["taken"] != 1 {
 		t.Errorf("counters %v", s)
 	}
 }
--- a/internal/program/withflight/statuses_test.go
+++ b/internal/program/withflight/statuses_test.go
@@ -52,6 +52,7 @@
 		{strings.Replace(validTicket, `"id":"s1"`, `"id":"a b"`, 1), "InvalidArgument desc = X-Trace-Id: expected"},
 		{strings.Replace(validTicket, `"acme"`, `"nobody"`, 1), "InvalidArgument desc = X-Customer: expected"},
 		{strings.Replace(validTicket, `"bucket":0`, `"bucket":9`, 1), "InvalidArgument desc = buckets[0].bucket: expected a shard from 0 to 2"},
+		{strings.Replace(validTicket, `"part":1`, `"part":0.5`, 1), "InvalidArgument desc = buckets: expected weights that add up to 1"},
 		{strings.Replace(validTicket, `"id"`, `"odd":1,"id"`, 1), `InvalidArgument desc = ticket: expected`},
 		{validTicket + validTicket, `InvalidArgument desc = ticket: expected`},
 		{validTicket + "]", `InvalidArgument desc = ticket: expected`},
--- a/internal/protocol/ambiguous_search_test.go
+++ b/internal/protocol/ambiguous_search_test.go
@@ -82,7 +82,7 @@
 		expectInvalidField(t, testCase.body, testCase.field, "/one", validHeader(), testCase.body)
 	}
 	for _, body := range []string{validBody, validBody + " \r\n\t", `{"body":"x","later":{"body":1,"Body":2},"buckets":[{"part":1,"seed":null,"bucket":3}]}`,
-		`{"effort":1,"seed":2,"buckets":[{"bucket":3,"part":1e-1,"Effort":2,"effort":1}],"body":""}`} {
+		`{"effort":1,"seed":2,"buckets":[{"bucket":3,"part":10e-1,"Effort":2,"effort":1}],"body":""}`} {
 		if _, err := testDeployment().ParseSearch("/one", validHeader(), []byte(body)); err != nil {
 			t.Errorf("%s: %v", body, err)
 		}
--- a/internal/protocol/search.go
+++ b/internal/protocol/search.go
@@ -14,6 +14,10 @@
 	maxIDBytes = 64
 	// noDealer is the dealer index of a search that names no dealer.
 	noDealer = -1
+	// weightSumTolerance is by how much the weights of a search may sum up to less or more than 1, because of rounding.
+	weightSumTolerance = 1e-4
+	// maxSummationError bounds the error that adding the weights of a search in floating point makes.
+	maxSummationError = 1e-9
 	// secondsPerMicrosecond converts the microseconds of a client's remaining time to seconds.
 	secondsPerMicrosecond = 1e-6
 )
@@ -36,7 +40,7 @@
 	RemainingSeconds float64
 	// Text is what the client searches for; it is sent to each node unchanged.
 	Text string
-	// Parts are the parts of the search, one for each shard that the client asks for.
+	// Parts are the parts of the search, one for each shard that the client asks for. Their weights add up to 1, but for rounding.
 	Parts []Part
 }
 
@@ -106,13 +110,15 @@
 	return search, nil
 }
 
-// validateParts returns an error unless there is at least one part, each names a different existing shard, and each weight
-// is above 0 and at most 1.
+// validateParts returns an error unless there is at least one part, each names a different existing shard, each weight is above
+// 0 and at most 1, and the weights add up to 1. How much of a search is answered, and so whether its answer is complete, can be
+// told from the weights of its answered parts only if all of them add up to 1.
 func (d *Deployment) validateParts(parts []Part) error {
 	if len(parts) == 0 {
 		return &InvalidFieldError{"buckets", "at least one part"}
 	}
 	seen := make(map[int]bool, len(parts))
+	weightSum := 0.0
 	for i, part := range parts {
 		prefix := fmt.Sprintf("buckets[%d].", i)
 		if part.Shard < 0 || part.Shard >= d.Settings.Shards {
@@ -125,6 +131,10 @@
 			return &InvalidFieldError{prefix + "part", "a share above 0 and at most 1"}
 		}
 		seen[part.Shard] = true
+		weightSum += part.Weight
+	}
+	if math.Abs(weightSum-1) > weightSumTolerance+maxSummationError {
+		return &InvalidFieldError{"buckets", fmt.Sprintf("weights that add up to 1, got a sum of %g", weightSum)}
 	}
 	return nil
 }
--- a/internal/protocol/search_test.go
+++ b/internal/protocol/search_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -29,11 +30,16 @@
 			return
 		}
 		seen := map[int]bool{}
+		weightSum := 0.0
 		for _, part := range search.Parts {
 			if part.Shard < 0 || part.Shard >= 9 || seen[part.Shard] || !(part.Weight > 0 && part.Weight <= 1) {
 				t.Fatalf("accepted %+v", search.Parts)
 			}
 			seen[part.Shard] = true
+			weightSum += part.Weight
+		}
+		if math.Abs(weightSum-1) > 1.0001e-4 {
+			t.Fatalf("accepted weights with the sum %g", weightSum)
 		}
 		if len(search.Parts) == 0 || !(search.RemainingSeconds > 0) || !isValidID(search.ID) || !utf8.ValidString(search.Text) {
 			t.Fatalf("accepted %+v", search)
