Weights that are rounded to four decimals make a complete answer

Cause: weightTolerance was 5e-5, the interface lets sums come up 0.0001 short. Search.settle neither answered 0.9999 nor gave it up.

Fix: the tolerance is 0.0001, and 1e-9 for the error of floating-point sums. Whatever ParseSearch accepts is now complete once all parts are answered.

Test: TestRoundedWeightsMakeACompleteAnswer, before the fix "all parts are answered: ended false, complete false".

--- a/balance/deadlines_test.go
+++ b/balance/deadlines_test.go
@@ -23,6 +23,30 @@
 	}
 }
 
+// TestRoundedWeightsMakeACompleteAnswer guards against a search that waits for its deadline though all of its parts are
+// answered: its weights are rounded to four decimals, so that they sum up to 0.9999, and its class needs all parts.
+func TestRoundedWeightsMakeACompleteAnswer(t *testing.T) {
+	sim := newDefaultSimulation(t, 4)
+	search := &simulatedSearch{class: 0, deadline: sim.now + 4}
+	sim.searches = append(sim.searches, search)
+	sim.runTurn(func() {
+		search.handle = sim.broker.AddSearch(0, -1, 4, 0)
+		for shard := range 3 {
+			search.parts = append(search.parts, &simulatedPart{shard: shard, weight: 0.3333, mayHaveRunSince: -1})
+			search.handle.AddPart(shard, 0.3333)
+		}
+	})
+	for partIndex := range search.parts {
+		if search.ended {
+			t.Fatalf("the search is answered after %d of 3 parts", partIndex)
+		}
+		sim.endAttempt(search, partIndex, OK)
+	}
+	if !search.ended || !search.complete {
+		t.Fatalf("all parts are answered: ended %t, complete %t", search.ended, search.complete)
+	}
+}
+
 // TestSearchWithTooLittleTimeEndsAtOnce checks that a search whose deadline is too near ends in the turn that it
 // comes in, not at the next regular sweep.
 func TestSearchWithTooLittleTimeEndsAtOnce(t *testing.T) {
--- a/balance/search.go
+++ b/balance/search.go
@@ -5,8 +5,9 @@
 // This file has searches in progress and their parts: how parts are added, when a search has enough of them to be
 // answered or too few left to succeed, and how its memory is reused.
 
-// weightTolerance is by how much a sum of part weights may fall short of a required share because of rounding.
-const weightTolerance = 5e-5
+// weightTolerance is by how much a sum of part weights may fall short of a required share: 0.0001 because the caller may
+// round the weights, and 1e-9 for the error of floating-point sums.
+const weightTolerance = 1e-4 + 1e-9
 
 // partState is the state of a part of a search: it waits to be sent, is in flight, is answered or has failed.
 type partState uint8
