Transport: frames of HTTP/2 and looks at a client's socket are read in one place each

flightnodes found the frames in what it writes by itself, and clients read a socket and polled for a close by itself.

--- a/internal/transport/clients/departure.go
+++ b/internal/transport/clients/departure.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"brackenfront/internal/transport/parts"
+	"brackenfront/internal/transport/sockets"
 )
 
 // waitForClientClose waits until the client closes its connection while its request is being served, and returns the error by which
@@ -40,34 +41,19 @@
 	var buf [1024]byte
 	room := min(maxPipelinedBytes-len(c.pipelined), len(buf))
 	if room <= 0 {
-		return c.closedBehindUnread(fd)
-	}
-	n, err := syscall.Read(int(fd), buf[:room])
-	switch {
-	case err == syscall.EINTR:
-		return nil
-	case err == syscall.EAGAIN:
-		return err
-	case err != nil:
-		c.clientEnd = err
-	case n == 0:
+		if !sockets.ClosedBehindUnread(fd) {
+			return syscall.EAGAIN
+		}
 		c.clientEnd = io.EOF
-	default:
-		c.pipelined = append(c.pipelined, buf[:n]...)
+		return c.clientEnd
 	}
-	return c.clientEnd
-}
-
-// closedBehindUnread returns io.EOF if the client has closed its sending side after bytes that are still unread in the socket with
-// descriptor fd, else EAGAIN. It reads none of these bytes. A close is not detected while more unread bytes precede it than the
-// system buffers. c.mu must be held.
-func (c *conn) closedBehindUnread(fd uintptr) error {
-	sockets := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	if n, err := unix.Poll(sockets, 0); err != nil || n == 0 || sockets[0].Revents&unix.POLLNVAL != 0 {
-		return syscall.EAGAIN
+	n, err := sockets.ReadAvailable(fd, buf[:room])
+	if err == syscall.EAGAIN {
+		return err
 	}
-	c.clientEnd = io.EOF
-	return c.clientEnd
+	c.clientEnd = err
+	c.pipelined = append(c.pipelined, buf[:n]...)
+	return err
 }
 
 // departed reports, without waiting, whether the client has closed its connection, also where the close is still unread in
--- a/internal/transport/flightnodes/frame_parser.go
+++ b/internal/transport/flightnodes/frame_parser.go
@@ -1,55 +1,24 @@
 package flightnodes
 
 import (
-	"encoding/binary"
 	"io"
 
 	"golang.org/x/net/http2"
 )
 
-const (
-	// frameHeaderBytes is the size, in bytes, of the header of an HTTP/2 frame (RFC 9113, section 4.1).
-	frameHeaderBytes = 9
-	// priorityBytes is the size, in bytes, of the priority fields of an HTTP/2 HEADERS frame that has them (RFC 9113, section 6.2).
-	priorityBytes = 5
-)
+// priorityBytes is the size, in bytes, of the priority fields of an HTTP/2 HEADERS frame that has them (RFC 9113, section 6.2).
+const priorityBytes = 5
 
 // parseFrames parses buffer, the bytes of a write, before they are written, and adds the ends of requests and the resets of streams
 // in them to streamEnds. A frame may begin in one write and end in another.
 func (t *trackedConn) parseFrames(buffer []byte) {
 	for offset := 0; offset < len(buffer); {
-		if t.prefaceLeft > 0 {
-			n := min(t.prefaceLeft, len(buffer)-offset)
-			t.prefaceLeft -= n
-			offset += n
-			continue
-		}
-		if t.payloadLeft == 0 && len(t.frameHeader) < frameHeaderBytes {
-			n := min(frameHeaderBytes-len(t.frameHeader), len(buffer)-offset)
-			t.frameHeader = append(t.frameHeader, buffer[offset:offset+n]...)
-			if offset += n; len(t.frameHeader) < frameHeaderBytes {
-				continue
-			}
-			header := t.frameHeader
-			t.frame = http2.FrameHeader{
-				Length:   uint32(header[0])<<16 | uint32(header[1])<<8 | uint32(header[2]),
-				Type:     http2.FrameType(header[3]),
-				Flags:    http2.Flags(header[4]),
-				StreamID: binary.BigEndian.Uint32(header[5:]) &^ (1 << 31),
-			}
-			t.payloadLeft = int(t.frame.Length)
-			if t.payloadLeft == 0 {
-				t.frameComplete(offset)
-			}
-			continue
-		}
-		n := min(t.payloadLeft, len(buffer)-offset)
-		if frameType := t.frame.Type; frameType == http2.FrameHeaders || frameType == http2.FrameContinuation {
-			t.headerBlock.Write(buffer[offset : offset+n])
+		piece := t.scanner.Next(buffer[offset:])
+		offset += piece.Length
+		if frameType := t.scanner.Frame().Type; frameType == http2.FrameHeaders || frameType == http2.FrameContinuation {
+			t.headerBlock.Write(piece.Payload)
 		}
-		t.payloadLeft -= n
-		offset += n
-		if t.payloadLeft == 0 {
+		if piece.EndsFrame {
 			t.frameComplete(offset)
 		}
 	}
@@ -58,8 +27,7 @@
 // frameComplete handles the current frame once its last byte has been parsed; offset is the number of bytes of the write up to
 // and including that byte.
 func (t *trackedConn) frameComplete(offset int) {
-	t.frameHeader = t.frameHeader[:0]
-	frame := t.frame
+	frame := t.scanner.Frame()
 	switch frame.Type {
 	case http2.FrameHeaders:
 		t.headerStream = frame.StreamID
--- a/internal/transport/flightnodes/tracked_conn.go
+++ b/internal/transport/flightnodes/tracked_conn.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"brackenfront/internal/transport/http2frames"
 	"brackenfront/internal/transport/parts"
 )
 
@@ -52,14 +52,8 @@
 
 	// The fields below belong to the goroutine that writes: the gRPC library writes from one alone.
 
-	// prefaceLeft is how many bytes of the client's preface are still to be skipped.
-	prefaceLeft int
-	// frameHeader collects the bytes of the current frame's header until it is complete.
-	frameHeader []byte
-	// payloadLeft is how many bytes of the current frame's payload are still to come.
-	payloadLeft int
-	// frame is the decoded header of the current frame.
-	frame http2.FrameHeader
+	// scanner finds the frames in the written bytes.
+	scanner http2frames.Scanner
 	// headerBlock collects header fields until the end of their block.
 	headerBlock bytes.Buffer
 	// headerStream is the number of the stream that the header block belongs to.
@@ -123,7 +117,7 @@
 		onClose:       owner.onClosed,
 		sendQueue:     parts.NewSendQueue(socket),
 		pruneAt:       minPruneAt,
-		prefaceLeft:   len(http2.ClientPreface),
+		scanner:       http2frames.NewClientScanner(),
 		tagOfStream:   map[uint32]string{},
 	}
 	t.windowCheck = parts.NewWindowCheck(socket, t.discard)
--- /dev/null
+++ b/internal/transport/sockets/sockets.go
@@ -0,0 +1,36 @@
+// Package sockets asks the operating system about the clients of this program's TCP connections, without waiting: what they have
+// sent that no goroutine has read yet, and whether they have closed their sides.
+package sockets
+
+import (
+	"io"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// ReadAvailable reads bytes that the socket with descriptor fd holds unread into b, which must not be empty, and returns how many.
+// It does not wait: the error is EAGAIN if there are none, and io.EOF if the peer has closed its sending side and all of its
+// bytes are read. Other errors are those of the connection.
+func ReadAvailable(fd uintptr, b []byte) (int, error) {
+	for {
+		n, err := syscall.Read(int(fd), b)
+		switch {
+		case err == syscall.EINTR:
+			continue
+		case err != nil:
+			return 0, err
+		case n == 0:
+			return 0, io.EOF
+		}
+		return n, nil
+	}
+}
+
+// ClosedBehindUnread reports whether the peer of the socket with descriptor fd has closed its sending side, also where unread bytes
+// precede the close; it reads none of them. A close is not detected while more unread bytes precede it than the system buffers.
+func ClosedBehindUnread(fd uintptr) bool {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(polled, 0)
+	return err == nil && n > 0 && polled[0].Revents&unix.POLLNVAL == 0
+}
