--- a/internal/program/withflight/floods_test.go
+++ b/internal/program/withflight/floods_test.go
@@ -74,8 +74,8 @@
 	return buffer.Bytes()
 }
 
-// startHTTP2 begins an HTTP/2 connection on a socket, and returns a framer that writes on it.
-func startHTTP2(socket net.Conn) *http2.Framer {
+// startHTTP2 begins an HTTP/2 connection on a socket, a net.Conn or what writes to one, and returns a framer that writes on it.
+func startHTTP2(socket io.Writer) *http2.Framer {
 	io.WriteString(socket, http2.ClientPreface)
 	framer := http2.NewFramer(socket, nil)
 	framer.WriteSettings()
--- a/internal/program/withflight/harness_test.go
+++ b/internal/program/withflight/harness_test.go
@@ -31,7 +31,15 @@
 // after that. speaksFlight reports whether the node with index i speaks Flight. changes are pairs of a text in the JSON of the
 // deployment's settings and the text that replaces it.
 func startSystem(t testing.TB, speaksFlight func(i int) bool, changes ...string) *system {
-	r, err := rig.Start(speaksFlight, rig.FlightLimits{MaxPartBytes: 1 << 20, AnswerMemoryBytes: 64 << 20, RowsPerPart: 3}, changes...)
+	return startSystemWith(t, speaksFlight, rig.FlightLimits{}, changes...)
+}
+
+// startSystemWith is startSystem with limits of the test, of which it sets the sizes.
+func startSystemWith(t testing.TB, speaksFlight func(i int) bool, limits rig.FlightLimits, changes ...string) *system {
+	limits.MaxPartBytes = 1 << 20
+	limits.AnswerMemoryBytes = 64 << 20
+	limits.RowsPerPart = 3
+	r, err := rig.Start(speaksFlight, limits, changes...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -98,6 +99,8 @@
 	// WriteTimeout bounds the write of an answer to a Flight client, even if its deadline is later; 0 for the longest deadline in
 	// the settings.
 	WriteTimeout time.Duration
+	// WrapListener makes the listener of the Flight frontend from one on loopback; nil to use that one itself.
+	WrapListener func(net.Listener) net.Listener
 }
 
 // Start makes a rig of three replica groups with two nodes each; speaksFlight says of each node, by its index, whether it
@@ -126,7 +129,7 @@
 	if r.Router, err = routing.New(settings, known, r.FrameNodePool, r.FlightNodePool); err != nil {
 		return nil, err
 	}
-	if err := r.listen(settings, limits.WriteTimeout, log); err != nil {
+	if err := r.listen(settings, limits, log); err != nil {
 		return nil, err
 	}
 	r.Router.Start()
@@ -172,9 +175,8 @@
 	}, log)
 }
 
-// listen opens the listeners of the frontends. flightWriteTimeout bounds the write of an answer over Flight; 0 for the
-// longest deadline in the settings.
-func (r *Rig) listen(settings *protocol.Deployment, flightWriteTimeout time.Duration, log *logrus.Logger) (err error) {
+// listen opens the listeners of the frontends.
+func (r *Rig) listen(settings *protocol.Deployment, limits FlightLimits, log *logrus.Logger) (err error) {
 	r.httpFrontend, err = clients.Listen("127.0.0.1:0", clients.Limits{
 		RequestTimeout:   settings.MaxDeadline,
 		IdleTimeout:      settings.IdleTimeout,
@@ -185,14 +187,21 @@
 	if err != nil {
 		return err
 	}
-	r.FlightFrontend, err = flightfrontend.Listen("127.0.0.1:0", flightfrontend.Limits{
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	if limits.WrapListener != nil {
+		listener = limits.WrapListener(listener)
+	}
+	r.FlightFrontend = flightfrontend.New(listener, flightfrontend.Limits{
 		MaxSearchTime:     settings.MaxDeadline,
-		WriteTimeout:      cmp.Or(flightWriteTimeout, settings.MaxDeadline),
+		WriteTimeout:      cmp.Or(limits.WriteTimeout, settings.MaxDeadline),
 		IdleTimeout:       settings.IdleTimeout,
 		MaxStreamsPerConn: 512,
 		MaxConns:          64,
 	}, r.Router.ParseSearch, r.Router.Search, r.Router.Ready, log)
-	return err
+	return nil
 }
 
 // Close drains the frontends and ends everything. It returns the number of bytes of answers that are still held, which must
--- a/internal/routing/blocked_router_test.go
+++ b/internal/routing/blocked_router_test.go
@@ -60,7 +60,7 @@
 		search.RemainingSeconds = remaining.Seconds()
 		arrivedAt := time.Now()
 		go func() {
-			answer, err := rig.router.search(context.Background(), search, arrivedAt, nil)
+			answer, err := rig.router.Search(context.Background(), search, arrivedAt, nil)
 			if err != nil {
 				t.Error(err)
 			}
--- a/internal/routing/disconnected_client_test.go
+++ b/internal/routing/disconnected_client_test.go
@@ -25,7 +25,7 @@
 	ctx context.Context
 	// notifyClosed cancels ctx, as a frontend does once it has read the client's close.
 	notifyClosed context.CancelFunc
-	// result receives the error that Router.search returns, which is not nil if it has noticed the close.
+	// result receives the error that Router.Search returns, which is not nil if it has noticed the close.
 	result chan error
 }
 
@@ -49,7 +49,7 @@
 	client := &testClient{result: make(chan error, 1)}
 	client.ctx, client.notifyClosed = context.WithCancel(context.Background())
 	go func() {
-		_, err := rig.router.search(client.ctx, search, time.Now(), func() bool {
+		_, err := rig.router.Search(client.ctx, search, time.Now(), func() bool {
 			client.checks.Add(1)
 			return client.closed.Load()
 		})
@@ -204,7 +204,7 @@
 		search.Parts = search.Parts[:1]
 		search.Parts[0].Weight = 1
 		go func() {
-			_, err := rig.router.search(client.ctx, search, time.Now(), func() bool { return client.closed.Load() })
+			_, err := rig.router.Search(client.ctx, search, time.Now(), func() bool { return client.closed.Load() })
 			client.result <- err
 		}()
 		all[i] = client
@@ -240,7 +240,7 @@
 	ended := make(chan error, 1)
 	rig.whileBlocked(func() {
 		go func() {
-			_, err := rig.router.search(ctx, rig.newSearch("all"), time.Now(), nil)
+			_, err := rig.router.Search(ctx, rig.newSearch("all"), time.Now(), nil)
 			ended <- err
 		}()
 		rig.waitQueued()
--- a/internal/routing/late_arrival_test.go
+++ b/internal/routing/late_arrival_test.go
@@ -31,7 +31,7 @@
 		search.RemainingSeconds = clientTimeout.Seconds()
 		answers := make(chan protocol.FinalAnswer, 1)
 		go func() {
-			answer, _ := rig.router.search(context.Background(), search, arrivedAt, nil)
+			answer, _ := rig.router.Search(context.Background(), search, arrivedAt, nil)
 			answers <- answer
 		}()
 		return answers
--- a/internal/routing/redelivery_test.go
+++ b/internal/routing/redelivery_test.go
@@ -116,7 +116,7 @@
 		t.Fatal(err)
 	}
 	go func() {
-		answer, _ := rig.router.search(context.Background(), search, time.Now(), nil)
+		answer, _ := rig.router.Search(context.Background(), search, time.Now(), nil)
 		answers <- answer
 	}()
 	if answer := receive(rig, "an answer", answers); answer.Status != protocol.StatusDuplicate {
--- a/internal/routing/search.go
+++ b/internal/routing/search.go
@@ -10,14 +10,10 @@
 
 // Search runs one search, which arrived at the time arrivedAt, and waits for its final answer. The frontend writes the
 // answer and then calls its Free method. The error is that of ctx and means that the client has left, so that no answer is
-// needed. Search may be called from any goroutine but the router's.
-func (r *Router) Search(ctx context.Context, request *protocol.Search, arrivedAt time.Time) (protocol.FinalAnswer, error) {
-	return r.search(ctx, request, arrivedAt, nil)
-}
-
-// search is Search with a function, checkDisconnected, by which the router can check whether the client has closed its
-// connection although ctx is not cancelled yet; it is nil if the frontend cannot check that.
-func (r *Router) search(ctx context.Context, request *protocol.Search, arrivedAt time.Time,
+// needed. The router calls checkDisconnected, which must not wait, to check whether the client has left although ctx is not
+// cancelled yet; it is nil if the frontend cannot check that. Once it has returned true, the frontend has to cancel ctx soon.
+// Search may be called from any goroutine but the router's.
+func (r *Router) Search(ctx context.Context, request *protocol.Search, arrivedAt time.Time,
 	checkDisconnected func() bool) (protocol.FinalAnswer, error) {
 	remaining := time.Duration(min(request.RemainingSeconds, request.Deployment.MaxDeadline.Seconds()) * float64(time.Second))
 	search := &activeSearch{
--- a/internal/transport/flightfrontend/conn.go
+++ b/internal/transport/flightfrontend/conn.go
@@ -33,6 +33,8 @@
 	frontend *Frontend
 	// acceptedAt is when the connection was accepted.
 	acceptedAt time.Time
+	// reader reads the socket; nil where the connection gives no access to one.
+	reader *socketReader
 
 	// streamsCtx is cancelled when the searches of the connection's streams must stop, because the connection closes or a drain is
 	// cut short; each stream then gets its final status at once.
@@ -49,13 +51,40 @@
 	closeCode string
 }
 
+// newClientConn returns the connection of a client that the frontend has accepted.
+func newClientConn(accepted net.Conn, frontend *Frontend) *clientConn {
+	c := &clientConn{Conn: accepted, frontend: frontend, acceptedAt: time.Now()}
+	c.streamsCtx, c.endStreams = context.WithCancelCause(frontend.streamsCtx)
+	if socket, ok := accepted.(syscall.Conn); ok {
+		if rawConn, err := socket.SyscallConn(); err == nil {
+			c.reader = newSocketReader(rawConn)
+		}
+	}
+	return c
+}
+
 // Read reads from the socket, and records an error as the reason for the connection's end.
-func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+func (c *clientConn) Read(b []byte) (n int, err error) {
+	if c.reader != nil {
+		n, err = c.reader.read(b)
+	} else {
+		n, err = c.Conn.Read(b)
+	}
 	c.recordError(err)
 	return n, err
 }
 
+// departed reports, without waiting, whether the client has cancelled a call or closed its connection, also where the gRPC library
+// has not read that yet. call is the context of the call's stream.
+func (c *clientConn) departed(call context.Context) bool {
+	stream, ok := call.Value(streamKey{}).(uint32)
+	if ok && c.reader != nil && c.reader.departed(stream) {
+		return true
+	}
+	// This comes last: what the library has handled before the reader was asked has cancelled the context by now.
+	return call.Err() != nil || c.streamsCtx.Err() != nil
+}
+
 // Write writes to the socket, and records an error as the reason for the connection's end.
 func (c *clientConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
--- a/internal/transport/flightfrontend/frontend.go
+++ b/internal/transport/flightfrontend/frontend.go
@@ -60,8 +60,9 @@
 }
 
 // SearchFunc executes a search that arrived at the given time and returns its final answer, which the caller frees once it has been
-// written. It returns an error only where ctx was cancelled before there was an answer, as when the client has left.
-type SearchFunc func(ctx context.Context, search *protocol.Search, arrivedAt time.Time) (protocol.FinalAnswer, error)
+// written. It returns an error only where ctx was cancelled before there was an answer, or clientDeparted has returned true.
+// clientDeparted reports, without waiting, whether the client has left, also where ctx is not cancelled yet.
+type SearchFunc func(ctx context.Context, search *protocol.Search, arrivedAt time.Time, clientDeparted func() bool) (protocol.FinalAnswer, error)
 
 // Frontend is the Flight server for clients.
 type Frontend struct {
@@ -119,16 +120,21 @@
 	ClosedByCode map[string]int
 }
 
-// Listen opens addr (host:port) and returns a frontend on it that serves nothing before Serve. parse reads a search from the path,
-// header and body of an HTTP request; the frontend makes these from a command, the JSON text of a search in a ticket or descriptor.
-// search executes a search; ready reports whether a search that came now could be executed. Listen fails if the address cannot be
-// opened.
+// Listen opens addr (host:port) and returns the frontend that New makes on it. It fails if the address cannot be opened.
 func Listen(addr string, limits Limits, parse func(string, http.Header, []byte) (*protocol.Search, error), search SearchFunc,
 	ready func() bool, log *logrus.Logger) (*Frontend, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	return New(ln, limits, parse, search, ready, log), nil
+}
+
+// New returns a frontend that accepts connections from ln, and serves nothing before Serve. parse reads a search from the path,
+// header and body of an HTTP request; the frontend makes these from a command, the JSON text of a search in a ticket or descriptor.
+// search executes a search; ready reports whether a search that came now could be executed.
+func New(ln net.Listener, limits Limits, parse func(string, http.Header, []byte) (*protocol.Search, error), search SearchFunc,
+	ready func() bool, log *logrus.Logger) *Frontend {
 	frontend := &Frontend{limits: limits, parse: parse, search: search, ready: ready, log: log, netListener: ln, lastSchemas: map[int][]byte{},
 		connsByAddr: map[string]*clientConn{}}
 	frontend.streamsCtx, frontend.endStreams = context.WithCancel(context.Background())
@@ -144,9 +150,12 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: limits.IdleTimeout, Time: limits.IdleTimeout, Timeout: limits.MaxSearchTime}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
 		grpc.StatsHandler(streamStats{frontend}),
+		// socketReader has the read buffer.
+		grpc.ReadBufferSize(0),
+		grpc.InTapHandle(tagStream),
 		grpc.WaitForHandlers(true))
 	flight.RegisterFlightServiceServer(frontend.server, frontend)
-	return frontend, nil
+	return frontend
 }
 
 // Addr returns the address that the frontend listens on, as host:port.
--- a/internal/transport/flightfrontend/listener.go
+++ b/internal/transport/flightfrontend/listener.go
@@ -1,7 +1,6 @@
 package flightfrontend
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -45,8 +44,7 @@
 			accepted.Close()
 			continue
 		}
-		conn := &clientConn{Conn: accepted, frontend: l.frontend, acceptedAt: time.Now()}
-		conn.streamsCtx, conn.endStreams = context.WithCancelCause(l.frontend.streamsCtx)
+		conn := newClientConn(accepted, l.frontend)
 		l.frontend.mu.Lock()
 		l.frontend.connsByAddr[accepted.RemoteAddr().String()] = conn
 		l.frontend.mu.Unlock()
--- a/internal/transport/flightfrontend/service.go
+++ b/internal/transport/flightfrontend/service.go
@@ -57,10 +57,15 @@
 	if !ok {
 		return status.Error(codes.Internal, "its connection has ended")
 	}
+	clientDeparted := func() bool { return conn.departed(stream.Context()) }
+	// The client may have left before its request was read.
+	if clientDeparted() && !conn.endedByFrontend() {
+		return status.Error(codes.Canceled, "the client has left")
+	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	defer context.AfterFunc(conn.streamsCtx, cancel)()
-	answer, err := f.search(ctx, search, arrivedAt)
+	answer, err := f.search(ctx, search, arrivedAt, clientDeparted)
 	if err != nil && conn.endedByFrontend() {
 		return status.Error(codes.Internal, "the connection ends: nothing is promised")
 	} else if err != nil {
--- /dev/null
+++ b/internal/transport/flightfrontend/socket_reader.go
@@ -0,0 +1,134 @@
+package flightfrontend
+
+import (
+	"sync"
+	"syscall"
+
+	"golang.org/x/net/http2"
+
+	"brackenfront/internal/transport/http2frames"
+	"brackenfront/internal/transport/sockets"
+)
+
+// readBufferBytes is the size, in bytes, of a connection's read buffer: that of the gRPC library, in whose place it is. It is also how
+// many of the bytes that a socket holds are looked at.
+const readBufferBytes = 32 << 10
+
+// lookBuffers holds the buffers, of readBufferBytes each, that bytes of sockets are looked at in.
+var lookBuffers = sync.Pool{New: func() any { return new([readBufferBytes]byte) }}
+
+// socketReader reads a client's socket for the gRPC library, and can look at what the library has not read yet: after a pause of
+// this process, or in a burst, a client may have left long before the library has read that. The library must read without a
+// buffer of its own, so that each of its reads ends within the frame that it needs next.
+type socketReader struct {
+	// rawConn gives access to the socket.
+	rawConn syscall.RawConn
+
+	// mu guards the fields below, and is held while bytes are taken from the socket.
+	mu sync.Mutex
+	// buffer is the memory that unread lies in; nil before the first read.
+	buffer []byte
+	// unread holds the bytes that were read from the socket and not delivered to the library.
+	unread []byte
+	// delivered is the position in the client's frames of the bytes that were delivered to the library.
+	delivered http2frames.Scanner
+}
+
+// newSocketReader returns a reader of a new connection's socket.
+func newSocketReader(rawConn syscall.RawConn) *socketReader {
+	return &socketReader{rawConn: rawConn, delivered: http2frames.NewClientScanner()}
+}
+
+// read delivers bytes to the library; it waits until there are some or the connection has ended.
+func (r *socketReader) read(b []byte) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	n := r.deliver(b)
+	for n == 0 {
+		var fillErr error
+		if err := r.rawConn.Read(func(fd uintptr) bool {
+			fillErr = r.fill(fd)
+			return fillErr != syscall.EAGAIN
+		}); err != nil {
+			return 0, err
+		}
+		if fillErr != nil {
+			return 0, fillErr
+		}
+		n = r.deliver(b)
+	}
+	return n, nil
+}
+
+// deliver moves unread bytes to b and returns how many.
+func (r *socketReader) deliver(b []byte) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := copy(b, r.unread)
+	for delivered := r.unread[:n]; len(delivered) > 0; {
+		delivered = delivered[r.delivered.Next(delivered).Length:]
+	}
+	r.unread = r.unread[n:]
+	return n
+}
+
+// fill moves bytes from the socket with descriptor fd to unread, which must be empty, without waiting. The errors are those of
+// sockets.ReadAvailable. Only read calls it.
+func (r *socketReader) fill(fd uintptr) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.buffer == nil {
+		r.buffer = make([]byte, readBufferBytes)
+	}
+	n, err := sockets.ReadAvailable(fd, r.buffer)
+	r.unread = r.buffer[:n]
+	return err
+}
+
+// deliveredStream returns the number of the stream of the frame whose bytes were delivered to the library last.
+func (r *socketReader) deliveredStream() uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delivered.Frame().StreamID
+}
+
+// departed reports, without waiting, whether the client has closed its connection or reset the stream with that number, as far as
+// the library has not handled that. It takes no bytes from the socket: a read that waits would not be woken for them. A reset
+// behind more than readBufferBytes in the socket is not detected.
+func (r *socketReader) departed(stream uint32) (departed bool) {
+	err := r.rawConn.Control(func(fd uintptr) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		departed = sockets.ClosedBehindUnread(fd) || r.resetUnhandled(fd, stream)
+	})
+	return departed || err != nil
+}
+
+// resetUnhandled reports whether a reset of the stream is among the bytes that were not delivered to the library, or is the frame
+// that was delivered last, which the library may not have handled yet: it has handled a frame once it reads the next one. r.mu must
+// be held.
+func (r *socketReader) resetUnhandled(fd uintptr, stream uint32) bool {
+	ahead := r.delivered
+	if containsReset(&ahead, r.unread, stream) {
+		return true
+	}
+	look := lookBuffers.Get().(*[readBufferBytes]byte)
+	defer lookBuffers.Put(look)
+	n := sockets.Peek(fd, look[:])
+	return containsReset(&ahead, look[:n], stream)
+}
+
+// containsReset advances the scanner over b, and reports whether the current frame before or after any of these bytes resets the
+// stream; it may stop at the first that does.
+func containsReset(scanner *http2frames.Scanner, b []byte, stream uint32) bool {
+	for {
+		if frame := scanner.Frame(); frame.Type == http2.FrameRSTStream && frame.StreamID == stream {
+			return true
+		}
+		if len(b) == 0 {
+			return false
+		}
+		b = b[scanner.Next(b).Length:]
+	}
+}
--- a/internal/transport/flightfrontend/stream_stats.go
+++ b/internal/transport/flightfrontend/stream_stats.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 )
 
 // streamStats implements stats.Handler of gRPC: it counts how streams end, and puts the connection into the context of its
@@ -17,6 +18,18 @@
 // connKey is the key under which a stream's context has its *clientConn.
 type connKey struct{}
 
+// streamKey is the key under which a stream's context has the number of the stream, a uint32.
+type streamKey struct{}
+
+// tagStream puts the number of a new stream into its context. The gRPC library calls it on the goroutine that reads the connection,
+// after it has read the stream's headers and before it reads anything else, so that theirs is the frame that was delivered last.
+func tagStream(ctx context.Context, _ *tap.Info) (context.Context, error) {
+	if conn, ok := ctx.Value(connKey{}).(*clientConn); ok && conn.reader != nil {
+		ctx = context.WithValue(ctx, streamKey{}, conn.reader.deliveredStream())
+	}
+	return ctx, nil
+}
+
 // TagConn is called by gRPC for each new connection, and returns the context for all its streams, which holds its *clientConn
 // under connKey.
 func (s streamStats) TagConn(ctx context.Context, info *stats.ConnTagInfo) context.Context {
--- a/internal/transport/sockets/sockets.go
+++ b/internal/transport/sockets/sockets.go
@@ -34,3 +34,15 @@
 	n, err := unix.Poll(polled, 0)
 	return err == nil && n > 0 && polled[0].Revents&unix.POLLNVAL == 0
 }
+
+// Peek copies bytes that the socket with descriptor fd holds unread to b, and returns how many. It does not wait, and leaves the
+// bytes in the socket; it returns 0 if there are none or the connection has failed.
+func Peek(fd uintptr, b []byte) int {
+	for {
+		n, _, err := syscall.Recvfrom(int(fd), b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err == syscall.EINTR {
+			continue
+		}
+		return max(n, 0)
+	}
+}
