Flight: the time for which a request lay unread counts as its client's

A request that lies unread for 0.5 s, as in a pause of the process, told its node 8.999 s left where its client had 8.498 s.

Cause: DoGet took its own call for the arrival, and the library counts grpc-timeout from when it has read the headers. HTTP asks the system (clients.ArrivalTime). Excluded: the router and the backends, which take the arrival and the deadline as given.

Fix: socketReader asks the system after each read when the newest bytes came (sockets.NewestArrival, now shared with HTTP); the time from then to the library's reading of the headers goes with the call, and its search counts from that much earlier.

--- a/internal/transport/clients/departure.go
+++ b/internal/transport/clients/departure.go
@@ -6,8 +6,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"brackenfront/internal/transport/parts"
 	"brackenfront/internal/transport/sockets"
 )
@@ -99,14 +97,7 @@
 	if !ok || c.rawConn == nil {
 		return now
 	}
-	var info *unix.TCPInfo
-	var err error
-	controlErr := c.rawConn.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if controlErr != nil || err != nil {
-		return now
-	}
-	if unread := time.Duration(info.Last_data_recv) * time.Millisecond; unread > parts.ClientSeenValidity {
-		return now.Add(-unread)
-	}
-	return now
+	arrivedAt := now
+	c.rawConn.Control(func(fd uintptr) { arrivedAt = sockets.NewestArrival(fd, now, parts.ClientSeenValidity) })
+	return arrivedAt
 }
--- a/internal/transport/flightfrontend/conn.go
+++ b/internal/transport/flightfrontend/conn.go
@@ -75,14 +75,13 @@
 }
 
 // departed reports, without waiting, whether the client has cancelled a call or closed its connection, also where the gRPC library
-// has not read that yet. call is the context of the call's stream.
-func (c *clientConn) departed(call context.Context) bool {
-	stream, ok := call.Value(streamKey{}).(uint32)
-	if ok && c.reader != nil && c.reader.departed(stream) {
+// has not read that yet. ctx is the context of the call's stream.
+func (c *clientConn) departed(ctx context.Context) bool {
+	if call, ok := ctx.Value(callKey{}).(call); ok && c.reader.departed(call.stream) {
 		return true
 	}
 	// This comes last: what the library has handled before the reader was asked has cancelled the context by now.
-	return call.Err() != nil || c.streamsCtx.Err() != nil
+	return ctx.Err() != nil || c.streamsCtx.Err() != nil
 }
 
 // Write writes to the socket, and records an error as the reason for the connection's end.
--- a/internal/transport/flightfrontend/service.go
+++ b/internal/transport/flightfrontend/service.go
@@ -48,7 +48,7 @@
 // DoGet executes the search of a ticket and sends its final answer on the stream: a success as messages, and any other answer as
 // the returned gRPC status.
 func (f *Frontend) DoGet(ticket *flight.Ticket, stream flight.FlightService_DoGetServer) error {
-	arrivedAt := time.Now()
+	arrivedAt := arrivalTime(stream.Context())
 	search, err := f.parseCommand(stream.Context(), ticket.Ticket)
 	if err != nil {
 		return f.badRequest(err)
@@ -80,6 +80,16 @@
 	return f.writeAnswer(search.Class, answer, stream)
 }
 
+// arrivalTime returns the time now less the time for which the call lay unread whose stream has the context ctx, if that is known.
+// The deadline of ctx, by which a search's remaining time is reckoned, counts from when the gRPC library had read the call.
+func arrivalTime(ctx context.Context) time.Time {
+	now := time.Now()
+	if call, ok := ctx.Value(callKey{}).(call); ok {
+		return now.Add(-call.unreadTime)
+	}
+	return now
+}
+
 // answerSummary is the JSON object that ends an answer.
 type answerSummary struct {
 	// Complete says that the answered parts have enough weight for the search's class (protocol.FinalAnswer.Complete).
--- a/internal/transport/flightfrontend/socket_reader.go
+++ b/internal/transport/flightfrontend/socket_reader.go
@@ -3,10 +3,12 @@
 import (
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/net/http2"
 
 	"brackenfront/internal/transport/http2frames"
+	"brackenfront/internal/transport/parts"
 	"brackenfront/internal/transport/sockets"
 )
 
@@ -30,6 +32,8 @@
 	buffer []byte
 	// unread holds the bytes that were read from the socket and not delivered to the library.
 	unread []byte
+	// arrivedAt is when the newest bytes had arrived when unread was last taken from the socket: those in it, or ones behind them.
+	arrivedAt time.Time
 	// delivered is the position in the client's frames of the bytes that were delivered to the library.
 	delivered http2frames.Scanner
 }
@@ -82,15 +86,19 @@
 		r.buffer = make([]byte, readBufferBytes)
 	}
 	n, err := sockets.ReadAvailable(fd, r.buffer)
+	if n > 0 {
+		// Asked before the read, the system could name bytes that came long before these.
+		r.arrivedAt = sockets.NewestArrival(fd, time.Now(), parts.ClientSeenValidity)
+	}
 	r.unread = r.buffer[:n]
 	return err
 }
 
-// deliveredStream returns the number of the stream of the frame whose bytes were delivered to the library last.
-func (r *socketReader) deliveredStream() uint32 {
+// deliveredCall describes the call whose headers were delivered to the library last.
+func (r *socketReader) deliveredCall() call {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.delivered.Frame().StreamID
+	return call{stream: r.delivered.Frame().StreamID, unreadTime: time.Since(r.arrivedAt)}
 }
 
 // departed reports, without waiting, whether the client has closed its connection or reset the stream with that number, as far as
--- a/internal/transport/flightfrontend/stream_stats.go
+++ b/internal/transport/flightfrontend/stream_stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
@@ -18,14 +19,24 @@
 // connKey is the key under which a stream's context has its *clientConn.
 type connKey struct{}
 
-// streamKey is the key under which a stream's context has the number of the stream, a uint32.
-type streamKey struct{}
+// call is what is known of a call from the bytes of its connection.
+type call struct {
+	// stream is the number of the call's stream.
+	stream uint32
+	// unreadTime is for how long the call's headers had lain at this machine when the gRPC library read them, from when on it counts the
+	// client's deadline. It is less than that if bytes that came behind them were read with them, and never more.
+	unreadTime time.Duration
+}
+
+// callKey is the key under which a stream's context has its call.
+type callKey struct{}
 
-// tagStream puts the number of a new stream into its context. The gRPC library calls it on the goroutine that reads the connection,
-// after it has read the stream's headers and before it reads anything else, so that theirs is the frame that was delivered last.
+// tagStream puts the call of a new stream into the stream's context. The gRPC library calls it on the goroutine that reads the
+// connection, after it has read the stream's headers and before it reads anything else, so that theirs is the frame that was
+// delivered last.
 func tagStream(ctx context.Context, _ *tap.Info) (context.Context, error) {
 	if conn, ok := ctx.Value(connKey{}).(*clientConn); ok && conn.reader != nil {
-		ctx = context.WithValue(ctx, streamKey{}, conn.reader.deliveredStream())
+		ctx = context.WithValue(ctx, callKey{}, conn.reader.deliveredCall())
 	}
 	return ctx, nil
 }
--- a/internal/transport/sockets/sockets.go
+++ b/internal/transport/sockets/sockets.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -46,3 +47,16 @@
 		return max(n, 0)
 	}
 }
+
+// NewestArrival returns when the system received the newest bytes on the socket with descriptor fd, whether they are read or not. It
+// is the time now if the system does not say that, or if that lies at most tolerance before now: the system counts in milliseconds.
+func NewestArrival(fd uintptr, now time.Time, tolerance time.Duration) time.Time {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return now
+	}
+	if age := time.Duration(info.Last_data_recv) * time.Millisecond; age > tolerance {
+		return now.Add(-age)
+	}
+	return now
+}
