Weights: one tolerance for what is accepted and for what is complete

protocol and balance stated the interface's 0.0001 each for itself; protocol uses balance.WeightTolerance now, so that a search that is accepted is complete once all of its parts are answered. DoGet keeps DEADLINE_EXCEEDED for a call whose deadline has passed before its search begins.

--- a/balance/deadlines.go
+++ b/balance/deadlines.go
@@ -107,12 +107,12 @@
 	switch {
 	case b.now >= search.deadlineAt:
 		search.giveUp()
-	case b.now >= search.targetAt-b.sweepInterval && search.answeredWeight >= class.minShare-weightTolerance &&
-		search.answeredWeight > 0 && class.minShare < class.completeShare-weightTolerance &&
+	case b.now >= search.targetAt-b.sweepInterval && search.answeredWeight >= class.minShare-WeightTolerance &&
+		search.answeredWeight > 0 && class.minShare < class.completeShare-WeightTolerance &&
 		(search.inSecondStep || class.fetchParts == 0) && class.partialUtility > class.lateUtility:
 		search.answer(false)
 	case b.now >= search.targetAt && class.lateUtility == 0 && search.partsWaiting > 0 &&
-		search.expectedWeight() < search.completeShare-weightTolerance:
+		search.expectedWeight() < search.completeShare-WeightTolerance:
 		// A search that is past its target and needs more sends would only take capacity from others.
 		search.giveUp()
 	}
--- a/balance/load_shedding.go
+++ b/balance/load_shedding.go
@@ -75,11 +75,11 @@
 		b.zoneGuard.ReleaseReservations()
 		b.zoneGuard.RecordDemand(work)
 	}
-	if 1-blockedWeight < search.completeShare-weightTolerance {
+	if 1-blockedWeight < search.completeShare-WeightTolerance {
 		return true
 	}
 	slices.Sort(b.scratch)
-	last := max(int(math.Ceil(class.minShare*float64(len(b.scratch))-weightTolerance))-1, 0)
+	last := max(int(math.Ceil(class.minShare*float64(len(b.scratch))-WeightTolerance))-1, 0)
 	wait := max(b.scratch[len(b.scratch)/2], lastPartWeight*b.scratch[last])
 	b.meanUtilityCount = min(b.meanUtilityCount+1, meanUtilityMaxCount)
 	b.meanUtility += (search.utility - b.meanUtility) / b.meanUtilityCount
--- a/balance/retries.go
+++ b/balance/retries.go
@@ -150,7 +150,7 @@
 	// neither is a sign of that.
 	if !part.hung && (part.sentAt <= node.latestAnsweredSend &&
 		age < class.usualReplyTime+overtakenMoveFactor*b.patience*class.replyTimeDeviation || part.attempts > 1) ||
-		search.partsWaiting > 0 || search.expectedWeight() >= search.completeShare-weightTolerance ||
+		search.partsWaiting > 0 || search.expectedWeight() >= search.completeShare-WeightTolerance ||
 		!part.hung && b.zoneGuard != nil && b.zoneGuard.TrialPartInFlight(part.node) {
 		return
 	}
--- a/balance/search.go
+++ b/balance/search.go
@@ -5,9 +5,9 @@
 // This file has searches in progress and their parts: how parts are added, when a search has enough of them to be
 // answered or too few left to succeed, and how its memory is reused.
 
-// weightTolerance is by how much a sum of part weights may fall short of a required share: 0.0001 because the caller may
-// round the weights, and 1e-9 for the error of floating-point sums.
-const weightTolerance = 1e-4 + 1e-9
+// WeightTolerance is by how much a sum of part weights may fall short of a required share, and the weights of a step may
+// differ from 1 in sum: 0.0001 because the caller may round the weights, and 1e-9 for the error of floating-point sums.
+const WeightTolerance = 1e-4 + 1e-9
 
 // partState is the state of a part of a search: it waits to be sent, is in flight, is answered or has failed.
 type partState uint8
@@ -151,7 +151,7 @@
 func (s *Search) PartNode(partIndex int) int { return s.parts[partIndex].node }
 
 // AddPart adds a part for a shard to the current step of a search: its only one, or the first or second of two. weight
-// is the part's share of the step; the weights of all parts of a step sum up to 1. It returns the part's index within
+// is the part's share of the step; the weights of all parts of a step sum up to 1, within WeightTolerance. It returns the part's index within
 // the search, or -1 if the search has ended or there is no such shard.
 func (s *Search) AddPart(shard int, weight float64) int {
 	broker := s.broker
@@ -192,9 +192,9 @@
 // settle answers the current step of a search if enough of its weight is answered (completeShare), and gives the search
 // up if so much of the weight is lost that the answer cannot become complete any more.
 func (s *Search) settle() {
-	if s.answeredWeight >= s.completeShare-weightTolerance && len(s.parts) > s.stepStart {
+	if s.answeredWeight >= s.completeShare-WeightTolerance && len(s.parts) > s.stepStart {
 		s.answer(true)
-	} else if 1-s.lostWeight < s.completeShare-weightTolerance {
+	} else if 1-s.lostWeight < s.completeShare-WeightTolerance {
 		s.giveUp()
 	}
 }
@@ -250,8 +250,8 @@
 func (s *Search) giveUp() {
 	broker := s.broker
 	class := s.class
-	if s.answeredWeight > 0 && s.answeredWeight >= class.minShare-weightTolerance &&
-		class.minShare < class.completeShare-weightTolerance && (s.inSecondStep || class.fetchParts == 0) {
+	if s.answeredWeight > 0 && s.answeredWeight >= class.minShare-WeightTolerance &&
+		class.minShare < class.completeShare-WeightTolerance && (s.inSecondStep || class.fetchParts == 0) {
 		s.answer(false)
 		return
 	}
--- a/balance/sending.go
+++ b/balance/sending.go
@@ -43,7 +43,7 @@
 		for _, part := range search.parts[search.stepStart:] {
 			// Once enough parts are in flight, spare ones are not sent while all nodes are slow, nor to a node that is
 			// slow itself.
-			enough := expected >= search.completeShare-weightTolerance
+			enough := expected >= search.completeShare-WeightTolerance
 			if part.state != partWaiting || enough && (search.holdsBackSpareParts || pass == 1) {
 				continue
 			}
--- a/internal/protocol/search.go
+++ b/internal/protocol/search.go
@@ -5,6 +5,8 @@
 	"math"
 	"net/http"
 	"strconv"
+
+	"brackenfront/balance"
 )
 
 const (
@@ -14,10 +16,6 @@
 	maxIDBytes = 64
 	// noDealer is the dealer index of a search that names no dealer.
 	noDealer = -1
-	// weightSumTolerance is by how much the weights of a search may sum up to less or more than 1, because of rounding.
-	weightSumTolerance = 1e-4
-	// maxSummationError bounds the error that adding the weights of a search in floating point makes.
-	maxSummationError = 1e-9
 	// secondsPerMicrosecond converts the microseconds of a client's remaining time to seconds.
 	secondsPerMicrosecond = 1e-6
 )
@@ -111,7 +109,7 @@
 }
 
 // validateParts returns an error unless there is at least one part, each names a different existing shard, each weight is above
-// 0 and at most 1, and the weights add up to 1. How much of a search is answered, and so whether its answer is complete, can be
+// 0 and at most 1, and the weights add up to 1, within balance.WeightTolerance. How much of a search is answered, and so whether its answer is complete, can be
 // told from the weights of its answered parts only if all of them add up to 1.
 func (d *Deployment) validateParts(parts []Part) error {
 	if len(parts) == 0 {
@@ -133,7 +131,7 @@
 		seen[part.Shard] = true
 		weightSum += part.Weight
 	}
-	if math.Abs(weightSum-1) > weightSumTolerance+maxSummationError {
+	if math.Abs(weightSum-1) > balance.WeightTolerance {
 		return &InvalidFieldError{"buckets", fmt.Sprintf("weights that add up to 1, got a sum of %g", weightSum)}
 	}
 	return nil
--- a/internal/transport/flightfrontend/service.go
+++ b/internal/transport/flightfrontend/service.go
@@ -1,6 +1,7 @@
 package flightfrontend
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"time"
@@ -60,7 +61,7 @@
 	clientDeparted := func() bool { return conn.departed(stream.Context()) }
 	// The client may have left before its request was read.
 	if clientDeparted() && !conn.endedByFrontend() {
-		return status.Error(codes.Canceled, "the client has left")
+		return status.FromContextError(cmp.Or(stream.Context().Err(), context.Canceled)).Err()
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
