Tests: a drain that has begun, and searches under load, are waited for

TestDrainBesideHungNodes: the late search got its answer, 200, without Connection: close. The program logs "draining" before Server.Drain sets its state, and a request that is read between the two has no such header; its connection is shut once it is idle, which docs/crossings.md allows ("an answer that was sent without the header that says that it is the last"). The test now waits for the drain to shut an idle connection.

TestReloadOtherLayout: "19 searches under load", wanted 20: seven reloads took 47 ms on the loaded machine. Each reload is now followed by at least three answers, so that the count, which stays, is reached by waiting and searches run between all reloads.

--- a/cmd/brackenfront/drain_test.go
+++ b/cmd/brackenfront/drain_test.go
@@ -206,10 +206,22 @@
 		t.Fatal(err)
 	}
 	defer late.Close()
+	idle := broker.sendOnOwnConnection(broker.newRequest("all", searchBody(2)))
+	defer idle.Close()
+	idleReader := bufio.NewReader(idle)
+	if res, err := http.ReadResponse(idleReader, nil); err != nil || res.StatusCode != 200 {
+		t.Fatal(res, err)
+	} else {
+		io.Copy(io.Discard, res.Body)
+	}
 	// Once this search is answered, the broker has processed all that was sent before it.
 	broker.expectCompleteAnswer("all", []int{2}, 2)
 	broker.command.Process.Signal(syscall.SIGTERM)
 	broker.waitForLog("msg=draining")
+	// The log line comes first. Once the drain has begun, it shuts idle connections.
+	if _, err := idleReader.ReadByte(); err != io.EOF {
+		t.Fatalf("the idle connection: %v", err)
+	}
 	lateRequest := broker.newRequest("all", searchBody(2))
 	lateRequest.Write(late)
 	res, err := http.ReadResponse(bufio.NewReader(late), nil)
--- a/cmd/brackenfront/reload_test.go
+++ b/cmd/brackenfront/reload_test.go
@@ -165,8 +165,8 @@
 }
 
 // searchUntil sends one search of the class "any" after another, each of which must succeed, until stop is closed, and returns their number.
-// client is a number that makes the ids differ from those of other clients.
-func (broker *brokerProcess) searchUntil(stop chan struct{}, client int) (count int) {
+// client is a number that makes the ids differ from those of other clients. Each answer also goes to answered, until stop is closed.
+func (broker *brokerProcess) searchUntil(stop, answered chan struct{}, client int) (count int) {
 	for ; ; count++ {
 		select {
 		case <-stop:
@@ -185,6 +185,10 @@
 		if res.Body.Close(); res.StatusCode != 200 {
 			broker.t.Errorf("under load: %s", res.Status)
 		}
+		select {
+		case answered <- struct{}{}:
+		case <-stop:
+		}
 	}
 }
 
@@ -192,15 +196,23 @@
 // been sent twice by the end.
 func (r *settingsReloads) reloadUnderLoad() {
 	r.t.Helper()
+	// searchesPerReload is how many searches are answered after each reload, at least.
+	const searchesPerReload = 3
 	stop := make(chan struct{})
+	answered := make(chan struct{}, 1<<16)
 	ended := make(chan int)
 	for client := range 4 {
-		go func() { ended <- r.searchUntil(stop, client) }()
+		go func() { ended <- r.searchUntil(stop, answered, client) }()
 	}
-	for i := range 6 {
+	for i := range 7 {
 		r.reload(i%2 == 1)
+		for len(answered) > 0 {
+			<-answered
+		}
+		for range searchesPerReload {
+			<-answered
+		}
 	}
-	r.reload(false)
 	close(stop)
 	searches := 0
 	for range 4 {
