--- /dev/null
+++ b/review/kit-2/main.go
@@ -0,0 +1,115 @@
+// Command kit-2 holds the cases of the second review: stand-ins for nodes, clients and discovery, and what each case does
+// with them. A case exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// exit statuses of a case.
+const (
+	held       = 0
+	broken     = 1
+	couldNotDo = 2
+)
+
+// run is one run of a case.
+type run struct {
+	// trouble is false with TROUBLE=0.
+	trouble bool
+	// folder is a temporary folder.
+	folder  string
+	began   time.Time
+	mu      sync.Mutex
+	out     *os.File
+	brokers []*broker
+}
+
+// note writes a line into the record.
+func (r *run) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.out, "%8.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// path returns the path of a file in the temporary folder.
+func (r *run) path(name string) string { return filepath.Join(r.folder, name) }
+
+// start starts a broker, which ends with the case.
+func (r *run) start(name, command, listen, config string) (*broker, error) {
+	b, err := startBroker(r.folder, name, command, listen, config)
+	if b != nil {
+		r.mu.Lock()
+		r.brokers = append(r.brokers, b)
+		r.mu.Unlock()
+		r.note("started %s: %s, listens on %s, pid %d", name, command, listen, b.cmd.Process.Pid)
+	}
+	return b, err
+}
+
+var cases = map[string]func(*run) (int, error){
+	"head-flood":          headFlood,
+	"drain-after-pause":   drainAfterPause,
+	"stop-overwritten":    stopOverwritten,
+	"half-flight":         halfFlightRequests,
+	"schema-after-reload": schemaAfterReload,
+	"term-pause":          termPause,
+}
+
+func main() { os.Exit(runCase()) }
+
+func runCase() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: kit-2 CASE RECORD")
+		return couldNotDo
+	}
+	folder, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return couldNotDo
+	}
+	defer os.RemoveAll(folder)
+	out, err := os.Create(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return couldNotDo
+	}
+	defer out.Close()
+	r := &run{trouble: os.Getenv("TROUBLE") != "0", folder: folder, began: time.Now(), out: out}
+	end := func() {
+		r.mu.Lock()
+		brokers := r.brokers
+		r.mu.Unlock()
+		for _, b := range brokers {
+			b.kill()
+			if raw, err := os.ReadFile(b.log); err == nil && os.Getenv("KEEP_LOGS") != "" {
+				os.WriteFile(filepath.Join(os.Getenv("KEEP_LOGS"), b.name+".log"), raw, 0o600)
+			}
+		}
+	}
+	defer end()
+	// A case that is ended early ends its processes, too.
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		end()
+		os.RemoveAll(folder)
+		os.Exit(couldNotDo)
+	}()
+	status, err := cases[os.Args[1]](r)
+	if err != nil {
+		r.note("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return couldNotDo
+	}
+	r.note("exit %d", status)
+	fmt.Printf("exit %d\n", status)
+	return status
+}
