--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,11 +1,10 @@
 #!/bin/sh
-# Exit status 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves out the disruption.
+# Runs the case once. Exit status 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves out the disruption.
+# The build of deploy/balancer.toml and review/build-2.sh have to be run before.
 here=$(cd "$(dirname "$0")" && pwd)
 ROOT=$(cd "$here/../.." && pwd)
 export ROOT
-kit=$ROOT/review/kit-2/bin/kit-2
-if [ ! -x "$kit" ] || [ ! -x "$ROOT/bin/brackenfront" ] || [ ! -x "$ROOT/bin/brackenflight" ]; then
-	echo "build the programs first: the build command of deploy/balancer.toml, then review/build-2.sh" >&2
-	exit 2
-fi
-exec timeout -k 5 110 "$kit" term-pause "$here/record.txt"
+for program in bin/brackenfront bin/brackenflight review/bin/case7; do
+	[ -x "$ROOT/$program" ] || { echo "$program is not built" >&2; exit 2; }
+done
+exec timeout -k 5 110 "$ROOT/review/bin/case7" "$here/record.txt"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,9 @@
 #!/bin/sh
-# Builds what the cases of the second review start besides the project's own programs. It needs no network once the deploy file's
-# build has run.
+# Builds the programs of the cases of the second review, each the test and its stand-ins in one, into review/bin. It needs no network
+# once the deploy file's build has run: the cases use the modules of that build alone.
 set -e
 cd "$(dirname "$0")/.."
-mkdir -p review/kit-2/bin
-go build -buildvcs=false -o review/kit-2/bin/ ./review/kit-2
+mkdir -p review/bin
+for case in 6 7 8 9 10; do
+	go build -buildvcs=false -o "review/bin/case$case" "./review/$case"
+done
--- a/review/kit-2/client.go
+++ b/review/kit-2/client.go
@@ -1,4 +1,4 @@
-package main
+package kit2
 
 import (
 	"bytes"
--- a/review/kit-2/drainpause.go
+++ b/review/kit-2/drainpause.go
@@ -1,7 +1,8 @@
-package main
+package kit2
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +21,10 @@
 	pausedBrokers = 3
 	// toldAfter is how long after the start of a pause a node is listed as leaving.
 	toldAfter = 520 * time.Millisecond
+	// goneAfter is how long after it was listed as leaving a node ends: the pages say 0.79 to 2.7 s. partTime is how long a node
+	// takes for a part: what is sent in time ends in time.
+	goneAfter = 790 * time.Millisecond
+	partTime  = 450 * time.Millisecond
 )
 
 // smallSettings are settings of a small deployment: 3 blocks, each shard in two of them.
@@ -38,7 +43,7 @@
 }
 
 // drainAfterPause pauses brokers as machines that stand still do, tells each of a drain meanwhile, and looks at what the draining
-// node gets from it afterwards. Each broker has an agent of discovery of its own, so that each is told at a known time; the nodes
+// node gets from it afterwards. The node finishes what it has and ends. Each broker has an agent of discovery of its own, so that each is told at a known time; the nodes
 // are the same for all. A node that is listed as leaving by one agent is listed so by all others 2 s later.
 func drainAfterPause(r *run) (int, error) {
 	var agents []*discovery
@@ -59,7 +64,7 @@
 	for i := range pausedBrokers*pauses + spare {
 		hosts = append(hosts, host{Host: fmt.Sprintf("s-%d", i), Site: "a", Class: "m2", Block: i % 3, Health: "active", Share: 1})
 		for j := range drainBrokers {
-			n, err := newNode(fmt.Sprintf("s-%d", i), func(int, string) time.Duration { return 20 * time.Millisecond })
+			n, err := newNode(fmt.Sprintf("s-%d", i), func(int, string) time.Duration { return partTime })
 			if err != nil {
 				return 0, err
 			}
@@ -75,6 +80,12 @@
 	var brokers []*broker
 	settings := smallSettings()
 	settings["instances"] = drainBrokers
+	for _, lane := range settings["lanes"].([]map[string]any) {
+		lane["target"] = 4000
+	}
+	var mu sync.Mutex
+	// failedOrders has the status of each order that was not answered, by its id.
+	failedOrders := map[string]int{}
 	for j := range drainBrokers {
 		name, listen := fmt.Sprintf("b%d", j+1), freeAddr()
 		if err := writeConfig(r.path(name+".json"), name, listen, agents[j].addr(), agents[j].known(), settings); err != nil {
@@ -87,12 +98,18 @@
 		brokers = append(brokers, b)
 		c := newClients(listen)
 		for k, class := range []string{"quote", "order"} {
-			honest[k].run(c, class, 6, 3*time.Second, stop, &running, nil)
+			honest[k].run(c, class, 6, 3*time.Second, stop, &running, func(res result) {
+				if res.status != 200 && res.class == "order" {
+					mu.Lock()
+					failedOrders[res.id] = res.status
+					mu.Unlock()
+				}
+			})
 		}
 	}
 	time.Sleep(2 * time.Second)
-	var mu sync.Mutex
 	late, told := 0, 0
+	var lateParts []string
 	var pausing sync.WaitGroup
 	for j := range pausedBrokers {
 		pausing.Go(func() {
@@ -120,7 +137,11 @@
 					brokers[j].signal(syscall.SIGCONT)
 				}
 				paused := time.Since(began)
-				time.Sleep(1200 * time.Millisecond)
+				time.Sleep(time.Until(toldAt.Add(goneAfter)))
+				n.stop()
+				h.Health = "left"
+				agents[j].set(h)
+				time.Sleep(700 * time.Millisecond)
 				for other := range drainBrokers {
 					if other != j {
 						o := hosts[i]
@@ -134,6 +155,7 @@
 				for _, a := range n.takeArrivals() {
 					if after := a.at.Sub(toldAt); after > drainGrace+socketSlack {
 						late++
+						lateParts = append(lateParts, a.id)
 						r.note("    %s got part %s from b%d %.3f s after b%d was told", h.Host, a.id, j+1, after.Seconds(), j+1)
 					}
 				}
@@ -148,6 +170,15 @@
 	for k, class := range []string{"quote", "order"} {
 		r.note("%s: %d sent, %d answered, %d refused, %d failed or other", class, honest[k].sent.Load(), honest[k].answered.Load(), honest[k].refused.Load(), honest[k].other.Load())
 	}
+	lost := 0
+	for _, part := range lateParts {
+		id, _, _ := strings.Cut(part, ".")
+		if status, ok := failedOrders[id]; ok {
+			lost++
+			r.note("order %s, sent to the leaving node too late, was cut by that node's end and answered %d", id, status)
+		}
+	}
+	r.note("%d accepted orders failed because their part was sent too late to a node that was known to leave", lost)
 	r.note("%d drains told, %d parts sent more than %v after that", told, late, drainGrace+socketSlack)
 	if late > 0 {
 		return broken, nil
--- a/review/kit-2/flight.go
+++ b/review/kit-2/flight.go
@@ -1,14 +1,11 @@
-package main
+package kit2
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
-	"os"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow"
@@ -122,19 +119,6 @@
 	return reader.Schema(), nil
 }
 
-// getSchema asks for the schema of a class; it returns nil if the broker says that it knows none yet.
-func (c *flightClient) getSchema(class string) (*arrow.Schema, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	result, err := c.GetSchema(ctx, &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: command(class)})
-	if status.Code(err) == codes.FailedPrecondition {
-		return nil, nil
-	} else if err != nil {
-		return nil, err
-	}
-	return flight.DeserializeSchema(result.Schema, memory.DefaultAllocator)
-}
-
 func columns(schema *arrow.Schema) string {
 	if schema == nil {
 		return "none known"
@@ -145,105 +129,3 @@
 	}
 	return strings.Join(names, ", ")
 }
-
-// schemaAfterReload puts a configuration in force that lists the same two classes in another order, and asks for the schemas of
-// both.
-func schemaAfterReload(r *run) (int, error) {
-	d, err := newDiscovery()
-	if err != nil {
-		return 0, err
-	}
-	for i := range 2 {
-		addr, stop, err := startFlightNode()
-		if err != nil {
-			return 0, err
-		}
-		defer stop()
-		d.set(host{Host: fmt.Sprintf("s-%d", i), Dial: addr, Site: "a", Class: "m2", Block: i, Health: "active", Share: 1, Speaks: "flight"})
-	}
-	known := d.known()
-	settings := func(classes ...string) map[string]any {
-		s := smallSettings()
-		var lanes []map[string]any
-		for _, class := range classes {
-			lanes = append(lanes, map[string]any{"name": class, "effect": "read_like", "target": 1000, "giveUp": 4000, "worth": 1, "lateWorth": 0.1, "window": 4000})
-		}
-		s["lanes"] = lanes
-		s["familyInfo"] = map[string]any{"perCall": 1, "places": 2, "reach": 1, "slices": 2, "classNeed": []float64{1, 1}, "minShare": []float64{1, 1},
-			"incompleteWorth": []float64{0, 0}, "fetchParts": []int{0, 0}}
-		return s
-	}
-	listen, flightListen, config := freeAddr(), freeAddr(), r.path("b1.json")
-	if err := writeConfig(config, "b1", listen, d.addr(), known, settings("price", "stock")); err != nil {
-		return 0, err
-	}
-	b, err := r.start("b1", "exec bin/brackenflight --set flight.leaves=true --set flight.listen="+flightListen, listen, config)
-	if err != nil {
-		return 0, err
-	}
-	c, err := newFlightClient(flightListen)
-	if err != nil {
-		return 0, err
-	}
-	wrong := 0
-	// look asks for the schemas of both classes, and compares them with those of the classes' answers.
-	look := func(when string) error {
-		for _, class := range []string{"price", "stock"} {
-			schema, err := c.getSchema(class)
-			if err != nil {
-				return err
-			}
-			r.note("%s: GetSchema of %s: %s", when, class, columns(schema))
-			if schema != nil && !schema.Equal(schemaOf(class)) {
-				wrong++
-				r.note("that is not the schema of the last answer of %s: %s", class, columns(schemaOf(class)))
-			}
-		}
-		return nil
-	}
-	for _, class := range []string{"price", "stock"} {
-		schema, err := c.get(class)
-		if err != nil {
-			return 0, err
-		}
-		r.note("DoGet of %s: %s", class, columns(schema))
-		if !schema.Equal(schemaOf(class)) {
-			wrong++
-		}
-	}
-	if err := look("before"); err != nil {
-		return 0, err
-	}
-	time.Sleep(1500 * time.Millisecond)
-	if r.trouble {
-		if err := writeConfig(config+".new", "b1", listen, d.addr(), known, settings("stock", "price")); err != nil {
-			return 0, err
-		}
-		if err := os.Rename(config+".new", config); err != nil {
-			return 0, err
-		}
-		b.signal(syscall.SIGHUP)
-		r.note("the configuration is replaced, with the classes in another order, and SIGHUP is sent")
-	}
-	// What a new configuration says counts 4 s after SIGHUP.
-	time.Sleep(4500 * time.Millisecond)
-	if raw, err := os.ReadFile(b.log); err == nil {
-		for _, line := range strings.Split(string(raw), "\n") {
-			if strings.Contains(line, "configuration") {
-				r.note("log: %s", line)
-			}
-		}
-	}
-	if err := look("after"); err != nil {
-		return 0, err
-	}
-	schema, err := c.get("price")
-	if err != nil {
-		return 0, err
-	}
-	r.note("DoGet of price: %s", columns(schema))
-	if wrong > 0 {
-		return broken, nil
-	}
-	return held, nil
-}
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -1,6 +1,6 @@
-// Command kit-2 holds the cases of the second review: stand-ins for nodes, clients and discovery, and what each case does
-// with them. A case exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
-package main
+// Package kit2 holds the cases of the second review: stand-ins for nodes, clients and discovery, and what each case does with
+// them. The commands in review/6 to review/10 run one case each.
+package kit2
 
 import (
 	"fmt"
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// exit statuses of a case.
+// Exit statuses of a case.
 const (
 	held       = 0
 	broken     = 1
@@ -54,19 +54,19 @@
 }
 
 var cases = map[string]func(*run) (int, error){
-	"head-flood":          headFlood,
-	"drain-after-pause":   drainAfterPause,
-	"stop-overwritten":    stopOverwritten,
-	"half-flight":         halfFlightRequests,
-	"schema-after-reload": schemaAfterReload,
-	"term-pause":          termPause,
+	"head-flood":        headFlood,
+	"drain-after-pause": drainAfterPause,
+	"stop-overwritten":  stopOverwritten,
+	"half-flight":       halfFlightRequests,
+	"term-pause":        termPause,
 }
 
-func main() { os.Exit(runCase()) }
-
-func runCase() int {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: kit-2 CASE RECORD")
+// RunCase runs the case of that name once and returns its exit status: 1 if the rule was broken, 0 if it held, 2 if it could not
+// run. The first argument of the command line is the path of the record; ROOT in the environment is the repository's root.
+// TROUBLE=0 leaves out the disruption.
+func RunCase(name string) int {
+	if len(os.Args) != 2 || cases[name] == nil || os.Getenv("ROOT") == "" {
+		fmt.Fprintln(os.Stderr, "usage: ROOT=FOLDER COMMAND RECORD")
 		return couldNotDo
 	}
 	folder, err := os.MkdirTemp("", "review-")
@@ -75,7 +75,7 @@
 		return couldNotDo
 	}
 	defer os.RemoveAll(folder)
-	out, err := os.Create(os.Args[2])
+	out, err := os.Create(os.Args[1])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldNotDo
@@ -103,7 +103,7 @@
 		os.RemoveAll(folder)
 		os.Exit(couldNotDo)
 	}()
-	status, err := cases[os.Args[1]](r)
+	status, err := cases[name](r)
 	if err != nil {
 		r.note("the case could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
--- a/review/kit-2/node.go
+++ b/review/kit-2/node.go
@@ -1,4 +1,4 @@
-package main
+package kit2
 
 import (
 	"bufio"
@@ -52,6 +52,16 @@
 
 func (n *node) addr() string { return n.listener.Addr().String() }
 
+// stop ends the node: it refuses new connections, and what it works on is lost.
+func (n *node) stop() {
+	n.listener.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for conn := range n.open {
+		conn.Close()
+	}
+}
+
 // takeArrivals returns the parts that have arrived since it was last called.
 func (n *node) takeArrivals() []arrival {
 	n.mu.Lock()
