--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -56,7 +56,7 @@
 var cases = map[string]func(*run) (int, error){
 	"head-flood":        headFlood,
 	"drain-after-pause": drainAfterPause,
-	"stop-overwritten":  stopOverwritten,
+	"two-councils":      twoCouncils,
 	"half-flight":       halfFlightRequests,
 	"term-pause":        termPause,
 }
