--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -57,7 +57,7 @@
 	"head-flood":        headFlood,
 	"drain-after-pause": drainAfterPause,
 	"two-councils":      twoCouncils,
-	"half-flight":       halfFlightRequests,
+	"effect-after-gap":  effectAfterGap,
 	"term-pause":        termPause,
 }
 
