--- a/balance/broker.go
+++ b/balance/broker.go
@@ -245,7 +245,7 @@
 	broker.sweepInterval = sweepTicks * settings.Tick
 	broker.deadlineMargin = broker.sweepInterval + deadlineMarginTicks*settings.Tick
 	broker.random.Seed(settings.Seed)
-	if err := broker.ApplySettings(settings, nil); err != nil {
+	if err := broker.ApplySettings(settings); err != nil {
 		return nil, err
 	}
 	if settings.ZoneGuard != nil {
--- a/balance/cold_fleet_test.go
+++ b/balance/cold_fleet_test.go
@@ -215,8 +215,8 @@
 		RetryBudgetShare:  0.2,
 		RetryBudgetWindow: 10,
 		Classes: []SearchClass{
-			{LatencyTarget: 1.2, Timeout: 4, Utility: 2, CompleteShare: 1, MinShare: 1},
-			{LatencyTarget: 2, Timeout: 4, Utility: 1, LateUtility: 0.1, CompleteShare: 1, MinShare: 1},
+			{Name: "urgent", LatencyTarget: 1.2, Timeout: 4, Utility: 2, CompleteShare: 1, MinShare: 1},
+			{Name: "usual", LatencyTarget: 2, Timeout: 4, Utility: 1, LateUtility: 0.1, CompleteShare: 1, MinShare: 1},
 		},
 	}
 	if scenario.slowStartOff {
--- a/balance/execution_test.go
+++ b/balance/execution_test.go
@@ -89,6 +89,8 @@
 	settings.Classes = append(settings.Classes, settings.Classes[0], settings.Classes[0])
 	settings.Classes[1].Effect = Idempotent
 	settings.Classes[2].Effect = NonIdempotent
+	settings.Classes[1].Name = "idempotent"
+	settings.Classes[2].Name = "non-idempotent"
 	sim := newSimulation(t, settings, nodes)
 	started := sim.now
 	earlier := sim.startSearch(0, 4, 0)
--- a/balance/load_shedding_test.go
+++ b/balance/load_shedding_test.go
@@ -70,8 +70,10 @@
 	settings.Groups = 100
 	settings.Shards = 100
 	settings.Brokers = 40
-	settings.Classes = []SearchClass{{LatencyTarget: 1.2, Timeout: 3, Utility: 2, CompleteShare: 0.6, MinShare: 0.6},
-		{LatencyTarget: 2, Timeout: 4, Utility: 2, CompleteShare: 1, MinShare: 0.5, PartialUtility: 0.8}}
+	settings.Classes = []SearchClass{
+		{Name: "wide", LatencyTarget: 1.2, Timeout: 3, Utility: 2, CompleteShare: 0.6, MinShare: 0.6},
+		{Name: "narrow", LatencyTarget: 2, Timeout: 4, Utility: 2, CompleteShare: 1, MinShare: 0.5, PartialUtility: 0.8},
+	}
 	var nodes []NodeEntry
 	for i := range 200 {
 		nodes = append(nodes, NodeEntry{Node: i, Group: i % 100})
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -74,14 +74,15 @@
 		settings.ZoneGuard = zoneGuardSettings()
 	}
 	settings.Classes = []SearchClass{
-		{LatencyTarget: 0.5, Timeout: 2, Utility: 1, CompleteShare: 1, MinShare: 1, RepeatWindow: 0.5},
-		{LatencyTarget: 0.8, Timeout: 2, Utility: 2, CompleteShare: 0.6, MinShare: 0.6, RepeatWindow: 0.5,
+		{Name: "short", LatencyTarget: 0.5, Timeout: 2, Utility: 1, CompleteShare: 1, MinShare: 1, RepeatWindow: 0.5},
+		{Name: "any of", LatencyTarget: 0.8, Timeout: 2, Utility: 2, CompleteShare: 0.6, MinShare: 0.6, RepeatWindow: 0.5,
 			LateUtility: 0.1},
-		{LatencyTarget: 1, Timeout: 3, Utility: 1, CompleteShare: 0.8, MinShare: 0.4, PartialUtility: 0.9,
+		{Name: "keyed", LatencyTarget: 1, Timeout: 3, Utility: 1, CompleteShare: 0.8, MinShare: 0.4, PartialUtility: 0.9,
 			RepeatWindow: 0.5, Effect: IdempotencyKeyed},
-		{LatencyTarget: 1, Timeout: 3, Utility: 1, CompleteShare: 1, MinShare: 1, RepeatWindow: 0.5,
+		{Name: "once", LatencyTarget: 1, Timeout: 3, Utility: 1, CompleteShare: 1, MinShare: 1, RepeatWindow: 0.5,
 			Effect: NonIdempotent, FetchParts: 2},
-		{LatencyTarget: 1, Timeout: 3, Utility: 1, CompleteShare: 0.5, MinShare: 0.5, RepeatWindow: 0.5, FetchParts: 2},
+		{Name: "two steps", LatencyTarget: 1, Timeout: 3, Utility: 1, CompleteShare: 0.5, MinShare: 0.5, RepeatWindow: 0.5,
+			FetchParts: 2},
 	}
 	return settings
 }
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"slices"
 
@@ -18,6 +19,9 @@
 // SearchClass is what the deployment configures of one class of searches: their latency target and timeout, what an
 // answer is worth, which answers count as complete, and whether parts may run twice.
 type SearchClass struct {
+	// Name identifies the class: a class of later settings with the same name is the same class, also if settings
+	// between them did not have it. It is unique within Settings.Classes.
+	Name string
 	// LatencyTarget is the time in seconds after a request's arrival beyond which the utility of its answer is
 	// multiplied by LateUtility.
 	LatencyTarget float64
@@ -58,7 +62,8 @@
 	// Tick is a time in seconds from which the broker derives its intervals: four ticks from one sweep to the next, and
 	// three more as a margin before a client's deadline.
 	Tick float64
-	// Classes are the search classes; a class's index in this list stands for it elsewhere, as in AddSearch.
+	// Classes are the search classes; a class's index in this list stands for it elsewhere, as in AddSearch, until other
+	// settings are applied.
 	Classes []SearchClass
 	// Quotas are the dealers' quotas of all brokers together, in searches per second, by dealer. Dealers are the customers
 	// that searches are made for.
@@ -117,9 +122,8 @@
 
 // classState is what the broker keeps of one search class: its settings, and what it learned from replies.
 type classState struct {
-	// index is the class's index in Settings.Classes of the settings in force; below 0 if later settings have removed
-	// the class, while searches of it are still in progress.
-	index int
+	// name identifies the class across settings (SearchClass.Name).
+	name string
 	// latencyTarget is the time in seconds after a request's arrival beyond which its answer is late
 	// (SearchClass.LatencyTarget).
 	latencyTarget float64
@@ -180,7 +184,12 @@
 		(s.WarmupStartShare <= 0 || s.WarmupStartShare > 1 || s.OverloadWindow <= 0 || s.OverloadMultiple <= 0):
 		return errors.New("the settings for cold nodes contradict each other")
 	}
+	names := map[string]bool{}
 	for _, class := range s.Classes {
+		if names[class.Name] {
+			return fmt.Errorf("two search classes have the name %q", class.Name)
+		}
+		names[class.Name] = true
 		if class.LatencyTarget <= 0 || class.Timeout <= 0 || class.CompleteShare <= 0 || class.CompleteShare > 1 ||
 			class.MinShare > class.CompleteShare {
 			return errors.New("a search class's latency target, timeout or shares make no sense")
@@ -191,16 +200,16 @@
 
 // ApplySettings replaces the settings in force, or returns an error and changes nothing if the new ones are not valid.
 // Searches in progress keep the settings that were in force when they arrived, and the nodes that held their shards
-// then, except where new settings allow fewer attempts or repeats. previousIndex has, for each class, its index in the
-// earlier settings, or a number below 0 for a new class, so that what was learned of the class's reply times and work
-// is kept. The dealers' quotas begin anew, and an allowance ends (SetAllowance). Seed, Tick, NodeListOnRequest and
-// ZoneGuard stay as they were given to New. If the layout differs, a call of UpdateNodes has to follow.
-func (b *Broker) ApplySettings(settings Settings, previousIndex []int) error {
+// then, except where new settings allow fewer attempts or repeats. What was learned of the reply times and work of a
+// class is kept if the settings before had a class of its name. The dealers' quotas begin anew, and an allowance ends
+// (SetAllowance). Seed, Tick, NodeListOnRequest and ZoneGuard stay as they were given to New. If the layout differs, a
+// call of UpdateNodes has to follow.
+func (b *Broker) ApplySettings(settings Settings) error {
 	if err := settings.Validate(); err != nil {
 		return err
 	}
-	b.restrictSearchesInProgress(settings, previousIndex)
-	b.applyClasses(settings, previousIndex)
+	b.restrictSearchesInProgress(settings)
+	b.applyClasses(settings)
 	b.maxPartsPerCall = max(settings.MaxPartsPerCall, 1)
 	b.canCancel = settings.CanCancel
 	b.canProbe = settings.CanProbe
@@ -226,14 +235,14 @@
 	return nil
 }
 
-// applyClasses replaces the search classes in force by those of the settings. previousIndex has, for each new class,
-// its index among the old ones, or a number below 0; what was learned of reply times and work is copied from there.
-func (b *Broker) applyClasses(settings Settings, previousIndex []int) {
+// applyClasses replaces the search classes in force by those of the settings. What was learned of reply times and work
+// is copied from the class in force that has the same name, if there is one.
+func (b *Broker) applyClasses(settings Settings) {
 	var classes []*classState
 	shortestTarget := math.Inf(1)
-	for i, configured := range settings.Classes {
+	for _, configured := range settings.Classes {
 		class := &classState{
-			index:           i,
+			name:            configured.Name,
 			latencyTarget:   configured.LatencyTarget,
 			repeatWindow:    configured.RepeatWindow,
 			utility:         configured.Utility,
@@ -247,8 +256,9 @@
 			effect:          configured.Effect,
 			partWork:        initialWorkTargetShare * configured.LatencyTarget,
 		}
-		if i < len(previousIndex) && previousIndex[i] >= 0 && previousIndex[i] < len(b.classes) {
-			previous := b.classes[previousIndex[i]]
+		sameName := func(previous *classState) bool { return previous.name == class.name }
+		if i := slices.IndexFunc(b.classes, sameName); i >= 0 {
+			previous := b.classes[i]
 			class.partWork = previous.partWork
 			class.usualReplyTime = previous.usualReplyTime
 			class.replyTimeDeviation = previous.replyTimeDeviation
@@ -261,9 +271,9 @@
 }
 
 // restrictSearchesInProgress makes the searches in progress keep to new settings where these allow fewer attempts or
-// fewer repeats than the ones they came under. previousIndex has, for each class of the new settings, its index among
-// the old ones, or a number below 0.
-func (b *Broker) restrictSearchesInProgress(settings Settings, previousIndex []int) {
+// fewer repeats than the ones they came under. A class is found by its name, so that new settings also hold for searches
+// of a class that earlier ones did not have.
+func (b *Broker) restrictSearchesInProgress(settings Settings) {
 	done := map[*classState]bool{}
 	for search := b.oldestSearch; search != nil; search = search.next {
 		class := search.class
@@ -272,13 +282,9 @@
 		}
 		done[class] = true
 		class.maxAttempts = min(class.maxAttempts, settings.MaxAttempts)
-		// A class that earlier settings removed has no index in these.
-		if class.index < 0 {
-			continue
-		}
-		class.index = slices.Index(previousIndex, class.index)
-		if class.index >= 0 {
-			class.restrict(settings.Classes[class.index].Effect, settings.Classes[class.index].RepeatWindow)
+		sameName := func(configured SearchClass) bool { return configured.Name == class.name }
+		if i := slices.IndexFunc(settings.Classes, sameName); i >= 0 {
+			class.restrict(settings.Classes[i].Effect, settings.Classes[i].RepeatWindow)
 		}
 	}
 }
--- a/balance/settings_test.go
+++ b/balance/settings_test.go
@@ -14,7 +14,7 @@
 	nodeBefore := sim.broker.nodes[0]
 	invalid := settings
 	invalid.MaxAttempts = 0
-	if err := sim.broker.ApplySettings(invalid, []int{0}); err == nil ||
+	if err := sim.broker.ApplySettings(invalid); err == nil ||
 		sim.broker.classes[0].maxAttempts != settings.MaxAttempts {
 		t.Fatal("invalid settings are put in force")
 	}
@@ -24,11 +24,11 @@
 	next.Groups = 4
 	next.Shards = 8
 	next.GroupsPerShard = 2
-	next.Classes = []SearchClass{{LatencyTarget: 1, Timeout: 4, Utility: 3, CompleteShare: 0.5, MinShare: 0.5},
+	next.Classes = []SearchClass{{Name: "other", LatencyTarget: 1, Timeout: 4, Utility: 3, CompleteShare: 0.5, MinShare: 0.5},
 		settings.Classes[0]}
 	sim.broker.classes[0].partWork = 0.123
 	sim.runTurn(func() {
-		if err := sim.broker.ApplySettings(next, []int{-1, 0}); err != nil {
+		if err := sim.broker.ApplySettings(next); err != nil {
 			t.Fatal(err)
 		}
 		for i := range nodes {
@@ -60,43 +60,66 @@
 	}
 }
 
+// configuredEffect is a class of settings under test: its name and effect.
+type configuredEffect struct {
+	name   string
+	effect Effect
+}
+
 // TestNewSettingsOnlyTightenEffects checks what ApplySettings changes for searches in progress: if their class gets a
-// stricter effect, by which a repeat may do harm, it holds for them at once, also over several changes and if the
-// classes change their order; a less strict effect does not.
+// stricter effect, by which a repeat may do harm, it holds for them at once, also over several changes, if the classes
+// change their order, and if settings in between did not have the class; a less strict effect does not.
 func TestNewSettingsOnlyTightenEffects(t *testing.T) {
 	settings, nodes := defaultSettings()
-	settings.Classes = append(settings.Classes, settings.Classes[0], settings.Classes[0])
+	original := settings.Classes[0]
+	// withClasses returns the settings with these classes, which differ in name and effect only.
+	withClasses := func(classes []configuredEffect) Settings {
+		next := settings
+		next.Classes = nil
+		for _, class := range classes {
+			configured := original
+			configured.Name = class.name
+			configured.Effect = class.effect
+			next.Classes = append(next.Classes, configured)
+		}
+		return next
+	}
 	for _, testCase := range []struct {
 		// name is the case's name in error messages.
 		name string
-		// configured are the effects by class, for each of the settings that are put in force in order.
-		configured [][3]Effect
-		// previousIndex is, for each of these settings, the argument of ApplySettings: the earlier index of each class.
-		previousIndex [][]int
-		// effects are those that hold in the end for the searches in progress, by the class that they came in.
+		// configured are the classes of each of the settings that are put in force in order.
+		configured [][]configuredEffect
+		// effects are those that hold in the end for the searches in progress of the classes a, b and c, which were
+		// Idempotent when the searches came.
 		effects [3]Effect
 	}{
-		{"stricter", [][3]Effect{{NonIdempotent, IdempotencyKeyed, Idempotent}},
-			[][]int{{0, 1, 2}}, [3]Effect{NonIdempotent, IdempotencyKeyed, Idempotent}},
-		{"looser", [][3]Effect{{IdempotencyKeyed, NonIdempotent, IdempotencyKeyed}, {Idempotent, Idempotent, Idempotent}},
-			[][]int{{0, 1, 2}, {0, 1, 2}}, [3]Effect{IdempotencyKeyed, NonIdempotent, IdempotencyKeyed}},
-		{"in another order, twice", [][3]Effect{{Idempotent, Idempotent, Idempotent}, {NonIdempotent, Idempotent, IdempotencyKeyed}},
-			[][]int{{2, 0, 1}, {1, 2, 0}}, [3]Effect{NonIdempotent, Idempotent, IdempotencyKeyed}},
-		{"removed, and another added", [][3]Effect{{NonIdempotent, Idempotent, Idempotent}, {NonIdempotent, NonIdempotent, Idempotent}},
-			[][]int{{-1, 1, 2}, {0, -1, 2}}, [3]Effect{Idempotent, Idempotent, Idempotent}},
+		{"stricter", [][]configuredEffect{{{"a", NonIdempotent}, {"b", IdempotencyKeyed}, {"c", Idempotent}}},
+			[3]Effect{NonIdempotent, IdempotencyKeyed, Idempotent}},
+		{"looser", [][]configuredEffect{
+			{{"a", IdempotencyKeyed}, {"b", NonIdempotent}, {"c", IdempotencyKeyed}},
+			{{"a", Idempotent}, {"b", Idempotent}, {"c", Idempotent}},
+		}, [3]Effect{IdempotencyKeyed, NonIdempotent, IdempotencyKeyed}},
+		{"in another order, twice", [][]configuredEffect{
+			{{"c", Idempotent}, {"a", Idempotent}, {"b", Idempotent}},
+			{{"a", NonIdempotent}, {"b", Idempotent}, {"c", IdempotencyKeyed}},
+		}, [3]Effect{NonIdempotent, Idempotent, IdempotencyKeyed}},
+		{"removed, and others added", [][]configuredEffect{
+			{{"d", NonIdempotent}, {"b", Idempotent}, {"c", Idempotent}},
+			{{"d", NonIdempotent}, {"e", NonIdempotent}, {"c", Idempotent}},
+		}, [3]Effect{Idempotent, Idempotent, Idempotent}},
+		{"removed, and stricter when it is there again", [][]configuredEffect{
+			{{"b", Idempotent}, {"c", Idempotent}},
+			{{"c", Idempotent}},
+			{{"b", IdempotencyKeyed}, {"a", NonIdempotent}, {"c", Idempotent}},
+		}, [3]Effect{NonIdempotent, IdempotencyKeyed, Idempotent}},
 	} {
-		sim := newSimulation(t, settings, nodes)
+		sim := newSimulation(t, withClasses([]configuredEffect{{"a", Idempotent}, {"b", Idempotent}, {"c", Idempotent}}), nodes)
 		var inProgress []*simulatedSearch
-		for class := range settings.Classes {
+		for class := range testCase.effects {
 			inProgress = append(inProgress, sim.startSearch(class, 4, 0))
 		}
-		for i, effects := range testCase.configured {
-			next := settings
-			next.Classes = append([]SearchClass(nil), settings.Classes...)
-			for at, effect := range effects {
-				next.Classes[at].Effect = effect
-			}
-			if err := sim.broker.ApplySettings(next, testCase.previousIndex[i]); err != nil {
+		for _, classes := range testCase.configured {
+			if err := sim.broker.ApplySettings(withClasses(classes)); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -108,6 +131,16 @@
 	}
 }
 
+// TestClassNamesAreUnique checks that settings with two classes of one name are invalid, as searches in progress could
+// follow either.
+func TestClassNamesAreUnique(t *testing.T) {
+	settings, _ := defaultSettings()
+	settings.Classes = append(settings.Classes, settings.Classes[0])
+	if settings.Validate() == nil {
+		t.Error("two classes have the same name")
+	}
+}
+
 // TestRestrictRepeatWindow checks classState.restrict: of two repeat windows the shorter one holds, and a class that
 // was Idempotent before takes the new window.
 func TestRestrictRepeatWindow(t *testing.T) {
@@ -149,7 +182,7 @@
 		for _, maxAttempts := range testCase.configured[1:] {
 			next := settings
 			next.MaxAttempts = maxAttempts
-			if err := sim.broker.ApplySettings(next, []int{0}); err != nil {
+			if err := sim.broker.ApplySettings(next); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/balance/silence_test.go
+++ b/balance/silence_test.go
@@ -23,8 +23,8 @@
 		settings, nodes := defaultSettings()
 		settings.Brokers = 30
 		settings.Classes = []SearchClass{
-			{LatencyTarget: shortest, Timeout: 2, Utility: 1, CompleteShare: 1, MinShare: 1, RepeatWindow: 1},
-			{LatencyTarget: longest, Timeout: 3 * longest, Utility: 1, CompleteShare: 1, MinShare: 1, RepeatWindow: 1},
+			{Name: "shortest", LatencyTarget: shortest, Timeout: 2, Utility: 1, CompleteShare: 1, MinShare: 1, RepeatWindow: 1},
+			{Name: "longest", LatencyTarget: longest, Timeout: 3 * longest, Utility: 1, CompleteShare: 1, MinShare: 1, RepeatWindow: 1},
 		}
 		sim := newSimulation(t, settings, nodes)
 		silentFrom := sim.now + 40
--- a/balance/simulation_test.go
+++ b/balance/simulation_test.go
@@ -195,13 +195,9 @@
 // applySettings makes the broker apply other settings, in a turn in which nothing else happens. The search classes of
 // the new settings must be those of the old ones, in the same order.
 func (sim *simulation) applySettings(settings Settings) {
-	previousIndex := make([]int, len(settings.Classes))
-	for i := range previousIndex {
-		previousIndex[i] = i
-	}
 	sim.settings = settings
 	sim.runTurn(func() {
-		if err := sim.broker.ApplySettings(settings, previousIndex); err != nil {
+		if err := sim.broker.ApplySettings(settings); err != nil {
 			sim.fatalf("valid settings are refused: %v", err)
 		}
 	})
--- a/balance/zone_guard_test.go
+++ b/balance/zone_guard_test.go
@@ -226,6 +226,7 @@
 	settings.ZoneGuard = config
 	settings.Classes = append(settings.Classes, settings.Classes[0])
 	settings.Classes[1].Utility = 20
+	settings.Classes[1].Name = "high utility"
 	var nodes []NodeEntry
 	for i := range 12 {
 		nodes = append(nodes, NodeEntry{Node: i, Group: i % 4, Zone: i / 4})
--- a/internal/protocol/deployment.go
+++ b/internal/protocol/deployment.go
@@ -244,6 +244,7 @@
 			return fmt.Errorf("lanes[%d].%w", i, err)
 		}
 		d.Settings.Classes = append(d.Settings.Classes, balance.SearchClass{
+			Name:           class.Name,
 			LatencyTarget:  class.Target * secondsPerMillisecond,
 			Timeout:        class.Timeout * secondsPerMillisecond,
 			RepeatWindow:   class.Window * secondsPerMillisecond,
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -8,9 +8,6 @@
 	"brackenfront/internal/protocol"
 )
 
-// noFormerClass is, when new settings are applied, the former index of a class that the former settings did not have.
-const noFormerClass = -1
-
 // ApplySettings puts other settings in force, or returns an error without having changed anything. Searches in flight keep
 // the settings that they began with, except where the new ones allow fewer attempts or repeats (balance.Broker.ApplySettings,
 // reviewRedeliveries). known is the list of nodes that belongs to the new settings. It is applied if the layout of shards
@@ -34,15 +31,7 @@
 	if fixed := r.deployment.SettingsNeedingRestart(deployment); len(fixed) > 0 {
 		return fmt.Errorf("field %s: only a restart changes it", strings.Join(fixed, ", "))
 	}
-	formerClasses := make([]int, len(deployment.Settings.Classes))
-	for name, class := range deployment.ClassIndexes {
-		if former, ok := r.deployment.ClassIndexes[name]; ok {
-			formerClasses[class] = former
-		} else {
-			formerClasses[class] = noFormerClass
-		}
-	}
-	if err := r.broker.ApplySettings(deployment.Settings, formerClasses); err != nil {
+	if err := r.broker.ApplySettings(deployment.Settings); err != nil {
 		return err
 	}
 	r.reviewRedeliveries()
