--- a/internal/fleet/conns.go
+++ b/internal/fleet/conns.go
@@ -53,8 +53,10 @@
 	if err != nil {
 		raw.Close()
 		n.countEvent("dial " + wire.ReasonCode(err))
+		return conn, remoteHello, err
 	}
-	return conn, remoteHello, err
+	n.noteDisk(ctx, remoteHello)
+	return conn, remoteHello, nil
 }
 
 // acceptConns accepts connections until ctx ends or the listener is closed, and serves each in a goroutine of its own.
@@ -101,6 +103,7 @@
 				return
 			}
 			defer n.dropConn(conn)
+			n.noteDisk(ctx, remoteHello)
 			if remoteHello.Purpose == wire.PurposePeer && n.member != nil {
 				err = n.member.servePeer(ctx, conn, remoteHello)
 			} else if remoteHello.Purpose == wire.PurposeClient {
--- a/internal/fleet/council/store.go
+++ b/internal/fleet/council/store.go
@@ -107,6 +107,14 @@
 // earlier processes.
 func (s *Store) WriteCount() uint64 { return s.writeCount }
 
+// Unused reports whether nothing was ever written to the storage: its member has neither belonged to a council nor recorded that
+// there is one (RecordCouncil).
+func (s *Store) Unused() bool { return s.writeCount == 0 }
+
+// RecordCouncil records durably, by a write that changes nothing but the write count, that the member has learned of an existing
+// council: afterwards the storage is no longer Unused, though it may be Blank. An error comes from the storage.
+func (s *Store) RecordCouncil() error { return s.put(Batch{}) }
+
 // FoundingSnapshot returns the snapshot with which the council was founded, a Raft snapshot in its Protocol Buffers encoding.
 // It is empty if the storage holds none.
 func (s *Store) FoundingSnapshot() []byte { return s.foundingSnapshot }
--- a/internal/fleet/inbound.go
+++ b/internal/fleet/inbound.go
@@ -146,10 +146,5 @@
 	if err != nil {
 		panic(err)
 	}
-	// New connections announce the new disk in their handshakes.
-	for broker, p := range m.peers {
-		p.cancel()
-		delete(m.peers, broker)
-	}
-	m.updatePeers()
+	m.reconnectPeers()
 }
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -58,6 +58,10 @@
 	healthUpdateReaders map[*clientConn]bool
 	// ticks is the number of periods of config.Tick that run has counted since its start.
 	ticks int
+	// foundingReadyTicks counts the ticks for which this member could have founded the council without a break (foundCouncil).
+	foundingReadyTicks int
+	// nextFoundingWarning is the earliest time, by Environment.Now, at which refuseFounding logs its warning again.
+	nextFoundingWarning float64
 	// loggedLeaderDisk is the storage id of the council's leader when the leader was last logged; 0 if there was none.
 	loggedLeaderDisk uint64
 	// ctx is the context of run. Peers run under it, because they outlive the connections for which they are started.
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"slices"
 
@@ -8,6 +9,15 @@
 	"google.golang.org/protobuf/proto"
 
 	"brackenfront/internal/fleet/council"
+	"brackenfront/internal/fleet/wire"
+)
+
+const (
+	// foundingWaitTicks is how long, in ticks, all brokers of the council have to be connected with unused disks before it is
+	// founded: members of an existing council dial again at least every maxRedialTicks, so that this is time for several tries.
+	foundingWaitTicks = 3 * maxRedialTicks
+	// foundingWarningSeconds is the time in seconds between two warnings that the council is not founded.
+	foundingWarningSeconds = 60
 )
 
 // manageMembership runs once a tick. It founds the council if there is none, sends the founding snapshot to brokers that lack
@@ -67,15 +77,34 @@
 	return slices.ContainsFunc(members, func(entry council.Member) bool { return entry.Disk == disk })
 }
 
-// foundCouncil founds the council. Only the first of the configured brokers does so, and only when all of them are
-// connected with blank disks: so a broker that has lost its disk never founds a second council beside the existing one.
-// Until then it does nothing and returns nil. An error comes from the disk.
+// foundCouncil founds the council. Only the first of the configured brokers does so, and only when all of them have been
+// connected with unused disks for foundingWaitTicks. So a broker that has lost its disk does not found a second council beside
+// the existing one: a disk on which it is recorded that there is a council (noteDisk) is not unused, and in the wait the
+// members of a council, who may not be in this broker's configuration, connect to it. Until then foundCouncil does nothing and
+// returns nil. An error comes from the disk.
 func (m *member) foundCouncil() error {
+	members := m.foundingMembers()
+	if members == nil {
+		m.foundingReadyTicks = 0
+		return nil
+	}
+	m.foundingReadyTicks++
+	if m.foundingReadyTicks < foundingWaitTicks {
+		return nil
+	}
+	config := m.node.config
+	m.node.log.WithField("founding", config.FoundingNumber).Info("fleet: all of the council are there and blank: it is founded")
+	return m.installFoundingSnapshot(council.NewFoundingSnapshot(members, config.Terms, config.FoundingNumber))
+}
+
+// foundingMembers returns the members of a council that this broker may found now; nil if it may not.
+func (m *member) foundingMembers() []council.Member {
 	config := m.node.config
 	if config.Council[0].Broker != config.Broker {
 		return nil
 	}
 	var members []council.Member
+	unused := m.store.Unused()
 	for _, configured := range config.Council {
 		disk := m.store.Disk()
 		if configured.Broker != config.Broker {
@@ -84,14 +113,50 @@
 				return nil
 			}
 			disk = remote.StorageID
+			unused = unused && remote.WriteCount == 0
 		}
 		if hasDisk(members, disk) {
 			return nil
 		}
 		members = append(members, council.Member{Disk: disk, Broker: configured.Broker, Addr: configured.Addr})
 	}
-	m.node.log.WithField("founding", config.FoundingNumber).Info("fleet: all of the council are there and blank: it is founded")
-	return m.installFoundingSnapshot(council.NewFoundingSnapshot(members, config.Terms, config.FoundingNumber))
+	if !unused {
+		m.refuseFounding()
+		return nil
+	}
+	return members
+}
+
+// refuseFounding counts, and logs once a minute, that the council is not founded although all of its configured brokers are
+// connected with blank disks, because one of them knows of a council.
+func (m *member) refuseFounding() {
+	m.node.countEvent("founding refused")
+	if now := m.node.environment.Now(); now >= m.nextFoundingWarning {
+		m.nextFoundingWarning = now + foundingWarningSeconds
+		m.node.log.Warn("fleet: the council is not founded, as one of its brokers knows of another: if all disks of that are lost, raise fleet.founding and empty fleet.dir on all brokers of the council")
+	}
+}
+
+// noteDisk handles what another broker's hello says of its disk. If that belongs to a council, and this broker's own disk has
+// never been written, the own disk records that there is a council, so that none is founded with it, and the peers are told so
+// by new connections. Any goroutine but the member's may call it.
+func (n *Node) noteDisk(ctx context.Context, remoteHello wire.Hello) {
+	if n.member == nil || remoteHello.StorageID == 0 || remoteHello.StorageBlank {
+		return
+	}
+	n.member.do(ctx, n.member.recordCouncil)
+}
+
+// recordCouncil records on an unused disk that there is a council. It panics, which ends the member, if the disk fails.
+func (m *member) recordCouncil() {
+	if !m.store.Unused() {
+		return
+	}
+	if err := m.store.RecordCouncil(); err != nil {
+		panic(err)
+	}
+	m.refreshHello()
+	m.reconnectPeers()
 }
 
 // handleFoundingSnapshot installs an encoded founding snapshot that another member sent, if this member's disk is blank
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -237,3 +237,13 @@
 		}
 	}
 }
+
+// reconnectPeers ends the connections to all peers and dials them again, so that the handshakes of the new connections tell
+// them of the present state of this member's disk.
+func (m *member) reconnectPeers() {
+	for broker, p := range m.peers {
+		p.cancel()
+		delete(m.peers, broker)
+	}
+	m.updatePeers()
+}
