--- a/internal/protocol/request_framing.go
+++ b/internal/protocol/request_framing.go
@@ -19,6 +19,9 @@
 	return fmt.Sprintf("request framing: %s: %s", e.Element, e.Reason)
 }
 
+// ErrTooManyFields says that the head and the trailer of a request have more than MaxRequestFields fields.
+var ErrTooManyFields = fmt.Errorf("request: more than %d header fields", MaxRequestFields)
+
 // IsRequestFramingError reports whether err is, or wraps, a RequestFramingError.
 func IsRequestFramingError(err error) bool {
 	var framing *RequestFramingError
@@ -114,6 +117,8 @@
 	// fieldNameLength is the length of the current field name in bytes. It may exceed the size of fieldName; such a name
 	// does not affect the framing.
 	fieldNameLength int
+	// fieldCount is the number of fields that have begun in the head and the trailer of the request.
+	fieldCount int
 	// currentField is the kind of the current header field: whether it affects the framing, and how.
 	currentField fieldKind
 	// contentLengthFields counts the Content-Length fields of the request.
@@ -143,7 +148,7 @@
 
 // Accept consumes the next bytes of the connection. It returns how many of them belong to the current request, or to the
 // request that they begin; this is less than len(b) only if the request ends there. The rest belongs to the next call, which
-// begins another request. An error is always a *RequestFramingError; after an error nothing more is accepted.
+// begins another request. An error is a *RequestFramingError or ErrTooManyFields; after an error nothing more is accepted.
 func (f *RequestFraming) Accept(b []byte) (n int, err error) {
 	if f.err != nil {
 		return 0, f.err
--- a/internal/protocol/request_framing_chunks.go
+++ b/internal/protocol/request_framing_chunks.go
@@ -58,7 +58,9 @@
 		f.state = afterLastCR
 	case f.state == atTrailerStart:
 		f.state = inTrailerName
-		f.fieldNameLength = 0
+		if err := f.countField(); err != nil {
+			return err
+		}
 		return f.acceptNameByte(c)
 	case f.state == inTrailerName && c == ':' && f.fieldNameLength > 0:
 		f.state = inTrailerValue
--- a/internal/protocol/request_framing_head.go
+++ b/internal/protocol/request_framing_head.go
@@ -4,6 +4,9 @@
 
 // Limits on the head of a request.
 const (
+	// MaxRequestFields is the largest number of fields that the head and the trailer of a request may have together. The HTTP
+	// library keeps each field in a map, which takes some hundred bytes even for a field of four.
+	MaxRequestFields = 100
 	// maxLengthDigits is the maximum number of digits of a Content-Length: such a number fits 63 bits.
 	maxLengthDigits = 18
 	// maxCodingsBytes is the maximum length of all Transfer-Encoding values together, in bytes.
@@ -66,7 +69,9 @@
 		f.state = afterHeadCR
 	case f.state == atFieldStart:
 		f.state = inFieldName
-		f.fieldNameLength = 0
+		if err := f.countField(); err != nil {
+			return err
+		}
 		return f.acceptNameByte(c)
 	case f.state == inFieldName && c == ':' && f.fieldNameLength > 0:
 		f.state = inFieldValue
@@ -84,6 +89,16 @@
 	return nil
 }
 
+// countField is called at the beginning of each field. It returns ErrTooManyFields if the request may not have another one.
+func (f *RequestFraming) countField() error {
+	f.fieldNameLength = 0
+	if f.fieldCount == MaxRequestFields {
+		return ErrTooManyFields
+	}
+	f.fieldCount++
+	return nil
+}
+
 // acceptNameByte consumes one byte of a field name. It rejects every byte that may not be part of a token, and thereby also
 // folded lines and white space before the colon.
 func (f *RequestFraming) acceptNameByte(c byte) error {
--- a/internal/transport/clients/close.go
+++ b/internal/transport/clients/close.go
@@ -1,8 +1,11 @@
 package clients
 
 import (
+	"errors"
 	"io"
 	"time"
+
+	"brackenfront/internal/protocol"
 )
 
 // maxLingerTime bounds how long the server, once it has closed its sending side of a connection, reads on and waits for the client to
@@ -21,6 +24,9 @@
 	// badRequestClose is the response, with status 400, that says that a request cannot be read or is not served; it is the
 	// connection's last response.
 	badRequestClose = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// tooManyFieldsClose is the response, with status 431, that says that a request has more header fields than are allowed; it is
+	// the connection's last response.
+	tooManyFieldsClose = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// requestTimeoutClose is the response, with status 408, that says that a request was not received completely in time; it is the
 	// connection's last response.
 	requestTimeoutClose = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -135,6 +141,8 @@
 		return ""
 	case c.handlerCalled:
 		return internalErrorClose
+	case errors.Is(c.framing.Err(), protocol.ErrTooManyFields):
+		return tooManyFieldsClose
 	case c.framing.Err() != nil:
 		return badRequestClose
 	}
--- a/internal/transport/clients/conn.go
+++ b/internal/transport/clients/conn.go
@@ -135,6 +135,10 @@
 	if err != nil {
 		c.setEndCode(c.endCodeFor(err))
 	}
+	if errors.Is(err, protocol.ErrTooManyFields) {
+		// After a failed read of the network net/http sends no response, so that Close sends the one for this error.
+		err = &net.OpError{Op: "read", Net: "tcp", Err: err}
+	}
 	return n, err
 }
 
@@ -187,6 +191,8 @@
 		return codeSlow
 	case protocol.IsRequestFramingError(err):
 		return codeFraming
+	case errors.Is(err, protocol.ErrTooManyFields):
+		return codeTooLarge
 	case errors.Is(err, io.EOF):
 		return codeLeft
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
--- a/internal/transport/clients/endcodes.go
+++ b/internal/transport/clients/endcodes.go
@@ -21,6 +21,8 @@
 	codeUnusable = "unusable"
 	// codeFraming: the client sent a request that is malformed, or whose end two HTTP readers could place differently.
 	codeFraming = "framing"
+	// codeTooLarge: the client sent a request with more header fields than are allowed.
+	codeTooLarge = "too large"
 	// codeIdle: no further request came on the connection within Limits.IdleTimeout.
 	codeIdle = "idle"
 	// codeSlow: a request was not received, or a response could not be written, within Limits.RequestTimeout (or what
--- a/internal/transport/clients/handler.go
+++ b/internal/transport/clients/handler.go
@@ -87,6 +87,8 @@
 		}
 		return
 	}
+	// No search has a query, and the proxy would parse it, which takes many times its length of memory.
+	r.URL.RawQuery = ""
 	// The read deadline holds for the body only: if it stayed in force it would look like a client that closes its connection while
 	// its search is in progress.
 	controller := http.NewResponseController(w)
