--- a/internal/program/daemon.go
+++ b/internal/program/daemon.go
@@ -106,7 +106,7 @@
 func (d *daemon) makeRouter(connections *sharedConnections) (err error) {
 	backends := []routing.NodeBackend{d.nodePool}
 	if d.operatorOptions.Flight.NodeBackends {
-		answerMemory := &parts.AnswerMemory{MaxBytes: int64(d.operatorOptions.Flight.AnswerMemoryMB) << 20}
+		answerMemory := &parts.MemoryBudget{MaxBytes: int64(d.operatorOptions.Flight.AnswerMemoryMB) << 20}
 		d.flightNodes = d.features.Flight.NewNodeBackend(d.config, d.operatorOptions, answerMemory, d.log)
 		backends = append(backends, d.flightNodes)
 		connections.backends = append(connections.backends, d.flightNodes)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -45,7 +45,7 @@
 type FlightSupport struct {
 	// NewNodeBackend makes the backend for nodes that speak Flight; answerMemory limits the bytes of all answers that it
 	// keeps in memory.
-	NewNodeBackend func(config *protocol.Config, operatorOptions *options.Options, answerMemory *parts.AnswerMemory, log *logrus.Logger) NodeBackend
+	NewNodeBackend func(config *protocol.Config, operatorOptions *options.Options, answerMemory *parts.MemoryBudget, log *logrus.Logger) NodeBackend
 	// NewFrontend opens the listener for clients that speak Flight; the frontend serves them once its Serve is called.
 	NewFrontend func(config *protocol.Config, operatorOptions *options.Options, router *routing.Router, log *logrus.Logger) (Frontend, error)
 }
--- a/internal/program/withflight/withflight.go
+++ b/internal/program/withflight/withflight.go
@@ -19,7 +19,7 @@
 // their limits from the configuration and the options.
 func NewSupport() *program.FlightSupport {
 	return &program.FlightSupport{
-		NewNodeBackend: func(config *protocol.Config, operatorOptions *options.Options, answerMemory *parts.AnswerMemory, log *logrus.Logger) program.NodeBackend {
+		NewNodeBackend: func(config *protocol.Config, operatorOptions *options.Options, answerMemory *parts.MemoryBudget, log *logrus.Logger) program.NodeBackend {
 			return flightnodes.NewConnPool(flightnodes.Limits{
 				MaxStreamsPerConn:    config.MaxCallsPerConn,
 				ConnectTimeout:       config.DialTimeout,
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -55,7 +55,7 @@
 	Nodes []*standin.ScriptedNode
 	// AnswerMemory limits and counts the bytes of answers that the broker holds: those from Flight nodes that are unfinished or not
 	// yet sent to clients.
-	AnswerMemory *parts.AnswerMemory
+	AnswerMemory *parts.MemoryBudget
 	// Router is the broker's routing of searches.
 	Router *routing.Router
 	// FlightNodePool is the broker's connections to the nodes that speak Flight.
@@ -116,7 +116,7 @@
 	log.SetOutput(io.Discard)
 	r = &Rig{
 		Script:       standin.NewScript(),
-		AnswerMemory: &parts.AnswerMemory{MaxBytes: int64(limits.AnswerMemoryBytes)},
+		AnswerMemory: &parts.MemoryBudget{MaxBytes: int64(limits.AnswerMemoryBytes)},
 	}
 	if err := r.startNodes(speaksFlight, limits.RowsPerPart); err != nil {
 		return nil, err
--- a/internal/transport/flightnodes/connection_test.go
+++ b/internal/transport/flightnodes/connection_test.go
@@ -64,7 +64,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			pool := NewConnPool(Limits{MaxStreamsPerConn: 8, ConnectTimeout: time.Minute, PeerIdleTimeout: time.Hour, MaxWait: time.Minute, MayCancel: true,
-				MaxMessageBytes: 1 << 20, MaxPartBytes: 1 << 20, AnswerMemory: &parts.AnswerMemory{MaxBytes: 1 << 20}}, log)
+				MaxMessageBytes: 1 << 20, MaxPartBytes: 1 << 20, AnswerMemory: &parts.MemoryBudget{MaxBytes: 1 << 20}}, log)
 			pool.mu.Lock()
 			conn := pool.newConnection(address)
 			pool.mu.Unlock()
--- a/internal/transport/flightnodes/helpers_test.go
+++ b/internal/transport/flightnodes/helpers_test.go
@@ -24,7 +24,7 @@
 // newLimits returns the limits of tests that need no others, with the given Limits.MayCancel. All timeouts are longer than a test takes.
 func newLimits(mayCancel bool) flightnodes.Limits {
 	return flightnodes.Limits{MaxStreamsPerConn: 8, ConnectTimeout: 5 * time.Second, PeerIdleTimeout: time.Minute, MaxWait: time.Minute,
-		MayCancel: mayCancel, MaxMessageBytes: 1 << 20, MaxPartBytes: 1 << 20, AnswerMemory: &parts.AnswerMemory{MaxBytes: 1 << 20}}
+		MayCancel: mayCancel, MaxMessageBytes: 1 << 20, MaxPartBytes: 1 << 20, AnswerMemory: &parts.MemoryBudget{MaxBytes: 1 << 20}}
 }
 
 // newPool makes a pool that logs nothing, which the caller has to close.
--- a/internal/transport/flightnodes/pool.go
+++ b/internal/transport/flightnodes/pool.go
@@ -53,7 +53,7 @@
 	// MaxPartBytes bounds the size of all messages of the answer to one part together, in bytes.
 	MaxPartBytes int
 	// AnswerMemory bounds the bytes of the answers to all parts together that are incomplete or not yet delivered to clients.
-	AnswerMemory *parts.AnswerMemory
+	AnswerMemory *parts.MemoryBudget
 	// RetryMaxQueueTime is for how long after the decision to send it a second or later attempt of a part may still be sent; after
 	// that it ends with the outcome NotSent, and the router decides again. 0 stands for defaultRetryMaxQueueTime.
 	RetryMaxQueueTime time.Duration
