--- a/internal/protocol/search.go
+++ b/internal/protocol/search.go
@@ -93,7 +93,7 @@
 	if search.RemainingSeconds, ok = parseRemainingTime(header.Get("X-Expires-In")); !ok {
 		return nil, &InvalidFieldError{"X-Expires-In", "a number above 0 and a unit, m or u"}
 	}
-	parsed, err := parseSearchBody(body)
+	parsed, err := parseSearchBody(body, d.Settings.Shards)
 	if err != nil {
 		return nil, err
 	}
@@ -118,15 +118,17 @@
 	seen := make(map[int]bool, len(parts))
 	weightSum := 0.0
 	for i, part := range parts {
-		prefix := fmt.Sprintf("buckets[%d].", i)
+		wrong := func(member, expected string) error {
+			return &InvalidFieldError{fmt.Sprintf("buckets[%d].%s", i, member), expected}
+		}
 		if part.Shard < 0 || part.Shard >= d.Settings.Shards {
-			return &InvalidFieldError{prefix + "bucket", fmt.Sprintf("a shard from 0 to %d", d.Settings.Shards-1)}
+			return wrong("bucket", fmt.Sprintf("a shard from 0 to %d", d.Settings.Shards-1))
 		}
 		if seen[part.Shard] {
-			return &InvalidFieldError{prefix + "bucket", "a shard that is not named before"}
+			return wrong("bucket", "a shard that is not named before")
 		}
 		if !(part.Weight > 0 && part.Weight <= 1) {
-			return &InvalidFieldError{prefix + "part", "a share above 0 and at most 1"}
+			return wrong("part", "a share above 0 and at most 1")
 		}
 		seen[part.Shard] = true
 		weightSum += part.Weight
--- a/internal/protocol/search_body.go
+++ b/internal/protocol/search_body.go
@@ -23,6 +23,13 @@
 	expectedText = "text of whole Unicode characters"
 )
 
+// Members that are not read are allowed, but the decoder remembers the names of an object while it reads it, and takes time for each
+// token: a body may have otherTokens tokens in such members, and otherTokensPerPart more for each part that a search may have.
+const (
+	otherTokens        = 256
+	otherTokensPerPart = 16
+)
+
 // searchBody is the JSON body of a search as received; its values are not validated yet.
 type searchBody struct {
 	// parts are the parts as they were read, whose shards and weights have not been checked.
@@ -46,11 +53,22 @@
 type bodyReader struct {
 	// decoder splits the body into JSON tokens.
 	decoder *jsontext.Decoder
+	// maxParts is the largest number of parts that a search may have.
+	maxParts int
+	// maxOtherTokens is the largest number of JSON tokens in the values of members that are not read.
+	maxOtherTokens int
+	// otherTokens counts these tokens.
+	otherTokens int
 }
 
-// parseSearchBody reads the body of a search; every error is an *InvalidFieldError.
-func parseSearchBody(raw []byte) (*searchBody, error) {
-	reader := bodyReader{jsontext.NewDecoder(bytes.NewBuffer(raw))}
+// parseSearchBody reads the body of a search, up to the first error; every error is an *InvalidFieldError. maxParts is the largest
+// number of parts that the search may have.
+func parseSearchBody(raw []byte, maxParts int) (*searchBody, error) {
+	reader := &bodyReader{
+		decoder:        jsontext.NewDecoder(bytes.NewBuffer(raw)),
+		maxParts:       maxParts,
+		maxOtherTokens: otherTokens + otherTokensPerPart*maxParts,
+	}
 	body := &searchBody{}
 	err := reader.readSearch(body)
 	if err == nil {
@@ -64,7 +82,7 @@
 
 // readSearch reads the JSON object that a request's body consists of, and sets the fields of body from its members; other
 // members are skipped.
-func (r bodyReader) readSearch(body *searchBody) error {
+func (r *bodyReader) readSearch(body *searchBody) error {
 	if r.decoder.PeekKind() != jsontext.KindBeginObject {
 		return r.kindError("an object")
 	}
@@ -77,14 +95,14 @@
 			body.text, err = r.readText()
 			return err
 		}
-		return r.decoder.SkipValue()
+		return r.skipValue()
 	})
 }
 
 // readObject reads a JSON object, at whose beginning the decoder stands. After the name of each member, known or not, it
 // calls readMember, which has to read or skip the value; errors of readMember are returned. A name that differs from one of
 // known only in case is rejected with an InvalidFieldError.
-func (r bodyReader) readObject(known []string, readMember func(name string) error) error {
+func (r *bodyReader) readObject(known []string, readMember func(name string) error) error {
 	if _, err := r.decoder.ReadToken(); err != nil {
 		return err
 	}
@@ -116,9 +134,9 @@
 }
 
 // readParts reads the list of parts. A value that is not a list counts as an empty one.
-func (r bodyReader) readParts() (parts []Part, err error) {
+func (r *bodyReader) readParts() (parts []Part, err error) {
 	if r.decoder.PeekKind() != jsontext.KindBeginArray {
-		return nil, r.decoder.SkipValue()
+		return nil, r.skipValue()
 	}
 	if _, err := r.decoder.ReadToken(); err != nil {
 		return nil, err
@@ -129,6 +147,9 @@
 			_, err := r.decoder.ReadToken()
 			return parts, err
 		}
+		if len(parts) == r.maxParts {
+			return nil, &InvalidFieldError{"buckets", fmt.Sprintf("%d parts at most, one for each shard", r.maxParts)}
+		}
 		part, err := r.readPart()
 		if err != nil {
 			return nil, err
@@ -138,10 +159,10 @@
 }
 
 // readPart reads one part. A value that is not an object counts as an object without members.
-func (r bodyReader) readPart() (Part, error) {
+func (r *bodyReader) readPart() (Part, error) {
 	part := Part{Shard: noShard}
 	if r.decoder.PeekKind() != jsontext.KindBeginObject {
-		return part, r.decoder.SkipValue()
+		return part, r.skipValue()
 	}
 	err := r.readObject(partMembers, func(name string) (err error) {
 		switch name {
@@ -152,13 +173,13 @@
 			part.Weight, err = r.readWeight()
 			return err
 		}
-		return r.decoder.SkipValue()
+		return r.skipValue()
 	})
 	return part, err
 }
 
 // readShard reads the index of a shard; it returns noShard for a value that is not an integer.
-func (r bodyReader) readShard() (int, error) {
+func (r *bodyReader) readShard() (int, error) {
 	token, err := r.decoder.ReadToken()
 	if err != nil {
 		return noShard, err
@@ -175,7 +196,7 @@
 
 // readWeight reads the weight of a part; it returns 0 for a value that is not a number, and NaN for a number that does not
 // fit a float64, both of which validateParts rejects.
-func (r bodyReader) readWeight() (float64, error) {
+func (r *bodyReader) readWeight() (float64, error) {
 	token, err := r.decoder.ReadToken()
 	if err != nil {
 		return 0, err
@@ -191,7 +212,7 @@
 }
 
 // readText reads the text of a search; it returns nil for a value that is not a string.
-func (r bodyReader) readText() (*string, error) {
+func (r *bodyReader) readText() (*string, error) {
 	token, err := r.decoder.ReadToken()
 	if err != nil {
 		return nil, err
@@ -203,21 +224,38 @@
 	return &text, nil
 }
 
-// skipRest skips the rest of a JSON value whose first token, which has been read, is given.
-func (r bodyReader) skipRest(token jsontext.Token) error {
-	if kind := token.Kind(); kind != jsontext.KindBeginObject && kind != jsontext.KindBeginArray {
-		return nil
+// skipValue skips a JSON value that is not read.
+func (r *bodyReader) skipValue() error {
+	token, err := r.decoder.ReadToken()
+	if err != nil {
+		return err
+	}
+	return r.skipRest(token)
+}
+
+// skipRest skips the rest of a JSON value whose first token, which has been read, is given. It returns an InvalidFieldError once
+// more than maxOtherTokens tokens were skipped.
+func (r *bodyReader) skipRest(token jsontext.Token) error {
+	kind := token.Kind()
+	depth := r.decoder.StackDepth()
+	if kind != jsontext.KindBeginObject && kind != jsontext.KindBeginArray {
+		depth++
 	}
-	for depth := r.decoder.StackDepth(); r.decoder.StackDepth() >= depth; {
+	for {
+		if r.otherTokens++; r.otherTokens > r.maxOtherTokens {
+			return &InvalidFieldError{"body", fmt.Sprintf("%d values and names at most in members that a search does not have", r.maxOtherTokens)}
+		}
+		if r.decoder.StackDepth() < depth {
+			return nil
+		}
 		if _, err := r.decoder.ReadToken(); err != nil {
 			return err
 		}
 	}
-	return nil
 }
 
 // readEnd returns an error if anything but white space follows the body's object.
-func (r bodyReader) readEnd() error {
+func (r *bodyReader) readEnd() error {
 	switch _, err := r.decoder.ReadToken(); {
 	case err == io.EOF:
 		return nil
@@ -229,7 +267,7 @@
 
 // kindError returns the error for a value of another kind than expected, such as "an object": the decoder's error if the
 // value is not valid JSON, otherwise one that names the expected kind.
-func (r bodyReader) kindError(expected string) error {
+func (r *bodyReader) kindError(expected string) error {
 	if _, err := r.decoder.ReadToken(); err != nil {
 		return err
 	}
