--- a/cmd/brackenfront/process_test.go
+++ b/cmd/brackenfront/process_test.go
@@ -71,6 +71,11 @@
 // change are pairs of old and new text, which are replaced in the configuration. The environment variable BRACKENFRONT_TEST_SHELL may
 // hold shell commands to run before the broker, such as "ulimit -n 64;". The process is killed when the test ends.
 func startProcess(t testing.TB, change ...string) *brokerProcess {
+	return startProgram(t, os.Args[0], change...)
+}
+
+// startProgram starts a broker as startProcess does, from the executable file program: the test's own or one of the program.
+func startProgram(t testing.TB, program string, change ...string) *brokerProcess {
 	broker := &brokerProcess{
 		monitor:  &monitor{},
 		t:        t,
@@ -92,7 +97,7 @@
 	config = strings.NewReplacer(append(change, "MAXOPEN", "200", "STREAMS", "32", "BORN", "0")...).Replace(config)
 	broker.configPath = filepath.Join(t.TempDir(), "config.json")
 	broker.rewriteConfig(func(string) string { return config })
-	broker.command = exec.Command("/bin/sh", "-c", os.Getenv("BRACKENFRONT_TEST_SHELL")+` exec "$0"`, os.Args[0])
+	broker.command = exec.Command("/bin/sh", "-c", os.Getenv("BRACKENFRONT_TEST_SHELL")+` exec "$0"`, program)
 	broker.command.Env = append(os.Environ(), "BRACKENFRONT_TEST_MAIN=1", "ROUTER_CONFIG="+broker.configPath)
 	pipe, err := broker.command.StderrPipe()
 	if err != nil {
--- a/cmd/brackenfront/search_test.go
+++ b/cmd/brackenfront/search_test.go
@@ -27,7 +27,7 @@
 			t.Fatalf("a node received %+v", a)
 		}
 	}
-	broker.waitForLog("msg=serving", "memory=176160768 ", "processors=1")
+	broker.waitForLog("msg=serving", "memory=167772160 ", "processors=1")
 	broker.command.Process.Signal(syscall.SIGUSR1)
 	if c := broker.counters("searches"); c["taken"] != 1 || c["answered"] != 1 {
 		t.Fatalf("counters %v", c)
--- a/internal/program/configuration.go
+++ b/internal/program/configuration.go
@@ -26,10 +26,20 @@
 // for memory that the runtime does not count in it.
 const uncountedMemoryShare = 0.125
 
+// programMemoryBytes is kept out of that limit as well: the resident pages of the program itself, which count as memory.
+const programMemoryBytes = 8 << 20
+
+// minHeapShare is the least share of the configured memory that the Go runtime may use.
+const minHeapShare = 0.5
+
 // replayMemoryDivisor limits the memory for records of past searches, by which a request that is delivered again is
 // recognised: they may take the configured memory divided by it.
 const replayMemoryDivisor = 32
 
+// RequestMemoryDivisor limits the memory for requests that clients of a frontend send: beyond what each connection has to itself,
+// they may take the configured memory divided by it.
+const RequestMemoryDivisor = 8
+
 // errNoFleet is the error if the options name a fleet and this build of the program lacks the component for fleets
 // (FleetSupport).
 var errNoFleet = errors.New("options: field fleet.council: expected none, as this program is built without the fleet; brackenflight has it")
@@ -129,7 +139,8 @@
 // applyRuntimeLimits sets the Go runtime's memory limit and number of processors to what the configuration states. It may be
 // called again while the program runs.
 func applyRuntimeLimits(config *protocol.Config) {
-	debug.SetMemoryLimit(int64(float64(config.MemoryBytes) * (1 - uncountedMemoryShare)))
+	memory := float64(config.MemoryBytes)
+	debug.SetMemoryLimit(int64(max(memory*(1-uncountedMemoryShare)-programMemoryBytes, memory*minHeapShare)))
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(config.Cores))))
 }
 
--- a/internal/program/daemon.go
+++ b/internal/program/daemon.go
@@ -139,6 +139,7 @@
 		IdleTimeout:      d.config.IdleTimeout,
 		MaxConnections:   maxConnections,
 		MaxUnused:        d.config.MaxSockets / unusedClientsDivisor,
+		MaxRequestMemory: d.config.MemoryBytes / RequestMemoryDivisor,
 		AcceptRetryDelay: d.tick,
 	}, d.roundTripper, d.router.Ready, connections, d.log)
 	if err != nil {
--- a/internal/protocol/request_framing.go
+++ b/internal/protocol/request_framing.go
@@ -187,6 +187,9 @@
 // ConfirmHead is called for that request.
 func (f *RequestFraming) HeadComplete() bool { return f.err == nil && f.currentHead.complete }
 
+// FieldCount returns the number of fields that have begun in the head and the trailer of the most recent request.
+func (f *RequestFraming) FieldCount() int { return f.fieldCount }
+
 // Err returns the error after which nothing more is accepted on the connection, or nil.
 func (f *RequestFraming) Err() error { return f.err }
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -182,6 +182,7 @@
 		IdleTimeout:      settings.IdleTimeout,
 		MaxConnections:   1 << 16,
 		MaxUnused:        1 << 16,
+		MaxRequestMemory: 1 << 30,
 		AcceptRetryDelay: time.Millisecond,
 	}, r.Router.RoundTripper(), r.Router.Ready, r.FrameNodePool, log)
 	if err != nil {
--- a/internal/transport/clients/close.go
+++ b/internal/transport/clients/close.go
@@ -30,7 +30,8 @@
 	// requestTimeoutClose is the response, with status 408, that says that a request was not received completely in time; it is the
 	// connection's last response.
 	requestTimeoutClose = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	// internalErrorClose is the response with status 500 to a request that may have run; it is the connection's last response.
+	// internalErrorClose is the response with status 500 to a request that may have run, or that there is no memory for; it is the
+	// connection's last response.
 	internalErrorClose = "HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -141,6 +142,9 @@
 		return ""
 	case c.handlerCalled:
 		return internalErrorClose
+	case c.refusal != nil:
+		// The request may have been delivered before, and have run then.
+		return internalErrorClose
 	case errors.Is(c.framing.Err(), protocol.ErrTooManyFields):
 		return tooManyFieldsClose
 	case c.framing.Err() != nil:
--- a/internal/transport/clients/conn.go
+++ b/internal/transport/clients/conn.go
@@ -77,6 +77,11 @@
 	// badRequests is how many requests of the connection were answered with a 4xx status (except 429) while the client had already
 	// sent further requests behind them; maxBadRequests bounds it.
 	badRequests int
+	// memory keeps account of the memory of the current request.
+	memory requestMemory
+	// refusal is errNoRequestMemory once there was no memory for the current request, which is then the connection's last; otherwise
+	// nil.
+	refusal error
 	// framing parses the bytes that have been handed to net/http, and finds where requests end.
 	framing protocol.RequestFraming
 }
@@ -115,6 +120,9 @@
 		// Every further read returns it, as net/http may ignore it once.
 		err = c.framing.Err()
 		c.mu.Unlock()
+	case c.refusal != nil:
+		err = c.refusal
+		c.mu.Unlock()
 	case c.awaitingResponse && c.framing.RequestComplete() && len(b) == 1 && c.rawConn != nil:
 		// net/http reads a single byte to see whether the client closes its connection.
 		c.mu.Unlock()
@@ -135,7 +143,7 @@
 	if err != nil {
 		c.setEndCode(c.endCodeFor(err))
 	}
-	if errors.Is(err, protocol.ErrTooManyFields) {
+	if errors.Is(err, protocol.ErrTooManyFields) || errors.Is(err, errNoRequestMemory) {
 		// After a failed read of the network net/http sends no response, so that Close sends the one for this error.
 		err = &net.OpError{Op: "read", Net: "tcp", Err: err}
 	}
@@ -193,6 +201,8 @@
 		return codeFraming
 	case errors.Is(err, protocol.ErrTooManyFields):
 		return codeTooLarge
+	case errors.Is(err, errNoRequestMemory):
+		return codeMemory
 	case errors.Is(err, io.EOF):
 		return codeLeft
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
--- a/internal/transport/clients/connections.go
+++ b/internal/transport/clients/connections.go
@@ -50,7 +50,7 @@
 // addConn wraps a connection that was just accepted in a conn, which it returns, and adds it to the server's connections. If
 // Limits.MaxConnections is now exceeded, it closes unused connections, as many as there are too many.
 func (s *Server) addConn(netConn net.Conn) *conn {
-	c := &conn{Conn: netConn, server: s, acceptedAt: time.Now()}
+	c := &conn{Conn: netConn, server: s, acceptedAt: time.Now(), memory: requestMemory{budget: &s.requestMemory}}
 	if raw, ok := netConn.(syscall.Conn); ok {
 		c.rawConn, _ = raw.SyscallConn()
 	}
@@ -89,6 +89,7 @@
 	case http.StateActive:
 		c.requestCount++
 	case http.StateIdle:
+		c.memory.release()
 		c.awaitingResponse = false
 		c.handlerCalled = false
 		c.responseBegun = false
@@ -120,6 +121,7 @@
 	_, held := s.conns[c]
 	delete(s.conns, c)
 	c.mu.Lock()
+	c.memory.release()
 	code := c.endCode
 	requests := c.requestCount
 	if held && c.closing {
--- a/internal/transport/clients/endcodes.go
+++ b/internal/transport/clients/endcodes.go
@@ -23,6 +23,9 @@
 	codeFraming = "framing"
 	// codeTooLarge: the client sent a request with more header fields than are allowed.
 	codeTooLarge = "too large"
+	// codeMemory: the requests of all clients took as much memory as they may when the client sent one that needs more than a connection
+	// has to itself (freeRequestMemory).
+	codeMemory = "memory"
 	// codeIdle: no further request came on the connection within Limits.IdleTimeout.
 	codeIdle = "idle"
 	// codeSlow: a request was not received, or a response could not be written, within Limits.RequestTimeout (or what
--- a/internal/transport/clients/handler.go
+++ b/internal/transport/clients/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	stdlog "log"
 	"net/http"
@@ -148,7 +149,8 @@
 }
 
 // writeProxyError answers a request for which the transport returned an error instead of a response: with status 500 if a drain
-// was cut short, and 400 if the client has left or sent an incomplete request. Neither says that the request did not run.
+// was cut short or there is no memory for the request, and 400 if the client has left or sent an incomplete request. Neither says
+// that the request did not run.
 func (s *Server) writeProxyError(w http.ResponseWriter, r *http.Request, err error) {
 	c, _ := r.Context().Value(connContextKey{}).(*conn)
 	if s.baseContext.Err() != nil {
@@ -156,6 +158,11 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if errors.Is(err, errNoRequestMemory) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if r.Context().Err() != nil {
 		c.setEndCode(codeLeft)
 	}
--- a/internal/transport/clients/receive.go
+++ b/internal/transport/clients/receive.go
@@ -83,9 +83,14 @@
 
 // advanceFraming passes bytes to the framing and returns how many of them belong to the current request. c.mu must be held.
 // The framing is the parser that finds where requests end; it fails where a request is malformed or its end is ambiguous.
+// advanceFraming also fails where there is no memory for the bytes, which are discarded then.
 func (c *conn) advanceFraming(b []byte) (n int, err error) {
 	c.noteRequestBegun()
 	n, err = c.framing.Accept(b)
+	if err == nil && !c.memory.add(n, c.framing.FieldCount()) {
+		c.refusal = errNoRequestMemory
+		return 0, c.refusal
+	}
 	if c.framing.RequestComplete() {
 		c.awaitingResponse = true
 	} else {
--- a/internal/transport/clients/scriptedconn_test.go
+++ b/internal/transport/clients/scriptedconn_test.go
@@ -113,6 +113,7 @@
 		IdleTimeout:      3 * maxTestWait,
 		MaxConnections:   1000,
 		MaxUnused:        1000,
+		MaxRequestMemory: 1 << 20,
 		AcceptRetryDelay: time.Millisecond,
 	}, record, func() bool { return true }, noOtherConns{}, log)
 	if err != nil {
--- a/internal/transport/clients/server.go
+++ b/internal/transport/clients/server.go
@@ -32,6 +32,7 @@
 	"github.com/sirupsen/logrus"
 
 	"brackenfront/internal/protocol"
+	"brackenfront/internal/transport/parts"
 )
 
 // Limits bound how long requests and unused connections of clients may take, and how many connections there may be.
@@ -45,6 +46,9 @@
 	MaxConnections int
 	// MaxUnused is how many connections of clients may stay open unused; beyond that, those unused longest are closed.
 	MaxUnused int
+	// MaxRequestMemory is how many bytes of memory the requests of all clients together may take beyond what each connection has to
+	// itself (freeRequestMemory), from their first byte until their responses are sent. A request beyond it is refused.
+	MaxRequestMemory int64
 	// AcceptRetryDelay is how long the server waits before it accepts again after a transient error, such as a shortage of
 	// file descriptors.
 	AcceptRetryDelay time.Duration
@@ -78,6 +82,8 @@
 	// netListener accepts the connections; Drain closes it.
 	netListener net.Listener
 
+	// requestMemory is the budget of Limits.MaxRequestMemory.
+	requestMemory parts.MemoryBudget
 	// unusedConns is how many connections are unused, that is, between two requests (conn.idle is set).
 	unusedConns atomic.Int64
 	// closingConns is how many connections are still open that the server has begun to close by itself (conn.closing), so that their
@@ -124,6 +130,7 @@
 		acceptEnded: make(chan struct{}),
 		connEnded:   make(chan struct{}, 1),
 	}
+	s.requestMemory.MaxBytes = limits.MaxRequestMemory
 	s.counts.ClosedByCode = map[string]int{}
 	s.baseContext, s.cancelRequests = context.WithCancel(context.Background())
 	s.SetRequestTimeout(limits.RequestTimeout)
--- a/internal/transport/clients/testserver_test.go
+++ b/internal/transport/clients/testserver_test.go
@@ -63,6 +63,7 @@
 		IdleTimeout:      3 * maxTestWait,
 		MaxConnections:   1000,
 		MaxUnused:        1000,
+		MaxRequestMemory: 1 << 20,
 		AcceptRetryDelay: time.Millisecond,
 	}, transport, func() bool { return true }, noOtherConns{}, log)
 	if err != nil {
