--- a/cmd/brackenflight/process_test.go
+++ b/cmd/brackenflight/process_test.go
@@ -61,6 +61,12 @@
 // startProgram starts the program, with two nodes that follow script, from a shell that first runs the shell commands in before.
 // The program is killed when the test ends.
 func startProgram(t *testing.T, script *standin.Script, before string) *runningProgram {
+	return startProgramFile(t, os.Args[0], script, before)
+}
+
+// startProgramFile starts the program as startProgram does, from the executable file program: the test's own or one of the program.
+// Further arguments are those of its command line.
+func startProgramFile(t *testing.T, program string, script *standin.Script, before string, args ...string) *runningProgram {
 	var hosts []string
 	for i := range 2 {
 		node, err := script.NewNode(fmt.Sprint("l", i), 0, true)
@@ -70,8 +76,10 @@
 		t.Cleanup(node.Close)
 		hosts = append(hosts, node.DiscoveryEntry())
 	}
-	cmd := command(t, strings.Join(hosts, ","), "--set", "flight.listen=127.0.0.1:0", "--set", "flight.leaves=true")
+	args = append([]string{"--set", "flight.listen=127.0.0.1:0", "--set", "flight.leaves=true"}, args...)
+	cmd := command(t, strings.Join(hosts, ","), args...)
 	cmd.Path = "/bin/sh"
+	cmd.Args[0] = program
 	cmd.Args = append([]string{"sh", "-c", before + ` exec "$0" "$@"`}, cmd.Args...)
 	pipe, err := cmd.StderrPipe()
 	if err != nil {
--- a/internal/program/withflight/withflight.go
+++ b/internal/program/withflight/withflight.go
@@ -39,6 +39,7 @@
 				IdleTimeout:       config.IdleTimeout,
 				MaxStreamsPerConn: operatorOptions.Flight.MaxStreams,
 				MaxConns:          operatorOptions.Flight.MaxConnections,
+				MaxCallMemory:     config.MemoryBytes / program.RequestMemoryDivisor,
 			}, router.ParseSearch, router.Search, router.Ready, log)
 		},
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -92,6 +92,8 @@
 	// MaxPartBytes is the largest size, in bytes, of a part's answer and of one message from a node; the broker takes no larger
 	// one.
 	MaxPartBytes int
+	// CallMemoryBytes is the memory for the calls of all Flight clients together beyond what each connection has to itself; 1 GiB if 0.
+	CallMemoryBytes int64
 	// AnswerMemoryBytes is the largest number of bytes that the broker reserves at once for answers: Rig.AnswerMemory.MaxBytes.
 	AnswerMemoryBytes int
 	// RowsPerPart is the number of rows in each part's table from a node that speaks Flight.
@@ -201,6 +203,7 @@
 		IdleTimeout:       settings.IdleTimeout,
 		MaxStreamsPerConn: 512,
 		MaxConns:          64,
+		MaxCallMemory:     cmp.Or(limits.CallMemoryBytes, 1<<30),
 	}, r.Router.ParseSearch, r.Router.Search, r.Router.Ready, log)
 	return nil
 }
--- a/internal/transport/flightfrontend/conn.go
+++ b/internal/transport/flightfrontend/conn.go
@@ -17,6 +17,9 @@
 	codeClosed = "done"
 	// codeSlow: the client did not read its answer within Limits.WriteTimeout, or a deadline of the socket passed.
 	codeSlow = "slow"
+	// codeMemory: the client's calls needed more memory than the calls of all clients may take, or the client sent many heads that could
+	// not be accepted.
+	codeMemory = "memory"
 	// codeClientClosed: the client closed the connection.
 	codeClientClosed = "left"
 	// codeReset: the client's machine reset the connection.
@@ -35,12 +38,14 @@
 	acceptedAt time.Time
 	// reader reads the socket; nil where the connection gives no access to one.
 	reader *socketReader
+	// memory keeps account of the memory of the connection's calls.
+	memory *callMemory
 
 	// streamsCtx is cancelled when the searches of the connection's streams must stop, because the connection closes or a drain is
 	// cut short; each stream then gets its final status at once.
 	streamsCtx context.Context
 	// endStreams cancels streamsCtx; the cause that it is called with is errSlowClient where the client does not read an answer,
-	// and otherwise nil.
+	// errNoCallMemory where there is no memory for its calls, and otherwise nil.
 	endStreams context.CancelCauseFunc
 
 	// closeOnce makes repeated calls of Close count and log the end of the connection only once.
@@ -53,11 +58,11 @@
 
 // newClientConn returns the connection of a client that the frontend has accepted.
 func newClientConn(accepted net.Conn, frontend *Frontend) *clientConn {
-	c := &clientConn{Conn: accepted, frontend: frontend, acceptedAt: time.Now()}
+	c := &clientConn{Conn: accepted, frontend: frontend, acceptedAt: time.Now(), memory: newCallMemory(&frontend.callMemory)}
 	c.streamsCtx, c.endStreams = context.WithCancelCause(frontend.streamsCtx)
 	if socket, ok := accepted.(syscall.Conn); ok {
 		if rawConn, err := socket.SyscallConn(); err == nil {
-			c.reader = newSocketReader(rawConn)
+			c.reader = newSocketReader(rawConn, c.memory, func() { c.closeAfterStatus(codeMemory, errNoCallMemory) })
 		}
 	}
 	return c
@@ -117,23 +122,30 @@
 // errSlowClient is the cause with which a connection's streamsCtx is cancelled because its client does not read an answer.
 var errSlowClient = errors.New("the client does not read an answer")
 
-// closeSlow ends the connection of a client that has not read its answer within Limits.WriteTimeout. The client's other streams
-// get finalStatusTimeout to send their final status first: if the connection just ended, clients would see a status (UNAVAILABLE)
-// that says that the search was rejected, though it may have run.
-func (c *clientConn) closeSlow() {
+// errNoCallMemory is the cause with which a connection's streamsCtx is cancelled because there is no memory for its calls.
+var errNoCallMemory = errors.New("no memory for the calls of the connection")
+
+// closeSlow ends the connection of a client that has not read its answer within Limits.WriteTimeout.
+func (c *clientConn) closeSlow() { c.closeAfterStatus(codeSlow, errSlowClient) }
+
+// closeAfterStatus ends the connection with a close code and a cause for its streams. The streams get finalStatusTimeout to send
+// their final status first: if the connection just ended, clients would see a status (UNAVAILABLE) that says that the search was
+// rejected, though it may have run.
+func (c *clientConn) closeAfterStatus(code string, cause error) {
 	c.mu.Lock()
 	if c.closeCode == "" {
-		c.closeCode = codeSlow
+		c.closeCode = code
 	}
 	c.mu.Unlock()
-	c.endStreams(errSlowClient)
+	c.endStreams(cause)
 	time.AfterFunc(finalStatusTimeout, func() { c.Conn.Close() })
 }
 
-// endedByFrontend reports whether the frontend has cancelled the connection's streams, because a drain was cut short or the client
-// did not read an answer; it is false where the client left.
+// endedByFrontend reports whether the frontend has cancelled the connection's streams, because a drain was cut short, the client
+// did not read an answer, or there was no memory for its calls; it is false where the client left.
 func (c *clientConn) endedByFrontend() bool {
-	return c.frontend.streamsCtx.Err() != nil || errors.Is(context.Cause(c.streamsCtx), errSlowClient)
+	cause := context.Cause(c.streamsCtx)
+	return c.frontend.streamsCtx.Err() != nil || errors.Is(cause, errSlowClient) || errors.Is(cause, errNoCallMemory)
 }
 
 // Close closes the socket and ends the connection's streams. The first call counts and logs the end.
--- a/internal/transport/flightfrontend/frontend.go
+++ b/internal/transport/flightfrontend/frontend.go
@@ -26,11 +26,12 @@
 	"google.golang.org/grpc/keepalive"
 
 	"brackenfront/internal/protocol"
+	"brackenfront/internal/transport/parts"
 )
 
 const (
 	// maxHeaderBytes is the largest size, in bytes, of the headers of one stream.
-	maxHeaderBytes = 16 << 10
+	maxHeaderBytes = 8 << 10
 	// maxCommandOverheadBytes is by how many bytes a client's gRPC message may exceed protocol.MaxBodyBytes, the largest size of a
 	// search's JSON object; it is for the other members of the command.
 	maxCommandOverheadBytes = 4096
@@ -57,6 +58,9 @@
 	MaxStreamsPerConn int
 	// MaxConns is how many connections may be open at once.
 	MaxConns int
+	// MaxCallMemory is how many bytes of memory the calls of all clients together may take beyond what each connection has to itself
+	// (freeCallMemory). A call beyond it is refused, and a connection whose calls need more for their data ends.
+	MaxCallMemory int64
 }
 
 // SearchFunc executes a search that arrived at the given time and returns its final answer, which the caller frees once it has been
@@ -89,6 +93,9 @@
 	// endStreams cancels streamsCtx.
 	endStreams context.CancelFunc
 
+	// callMemory is the budget of Limits.MaxCallMemory.
+	callMemory parts.MemoryBudget
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// openConns is how many connections are open.
@@ -138,6 +145,7 @@
 	frontend := &Frontend{limits: limits, parse: parse, search: search, ready: ready, log: log, netListener: ln, lastSchemas: map[int][]byte{},
 		connsByAddr: map[string]*clientConn{}}
 	frontend.streamsCtx, frontend.endStreams = context.WithCancel(context.Background())
+	frontend.callMemory.MaxBytes = limits.MaxCallMemory
 	frontend.counts.StreamsByStatus = map[string]int{}
 	frontend.counts.ClosedByCode = map[string]int{}
 	frontend.server = grpc.NewServer(
@@ -206,6 +214,9 @@
 	return counts
 }
 
+// ReservedCallMemory returns how many bytes of Limits.MaxCallMemory are reserved for the calls of clients now.
+func (f *Frontend) ReservedCallMemory() int64 { return f.callMemory.Reserved() }
+
 // OpenConnections returns how many connections of clients are open.
 func (f *Frontend) OpenConnections() int {
 	f.mu.Lock()
--- a/internal/transport/flightfrontend/socket_reader.go
+++ b/internal/transport/flightfrontend/socket_reader.go
@@ -25,6 +25,10 @@
 type socketReader struct {
 	// rawConn gives access to the socket.
 	rawConn syscall.RawConn
+	// memory keeps account of what is delivered for the calls of the connection.
+	memory *callMemory
+	// onRefusal is called once memory has refused what would be delivered next.
+	onRefusal func()
 
 	// mu guards the fields below, and is held while bytes are taken from the socket.
 	mu sync.Mutex
@@ -36,20 +40,28 @@
 	arrivedAt time.Time
 	// delivered is the position in the client's frames of the bytes that were delivered to the library.
 	delivered http2frames.Scanner
+	// refused is set once memory has refused what would be delivered next: nothing more is delivered then.
+	refused bool
 }
 
-// newSocketReader returns a reader of a new connection's socket.
-func newSocketReader(rawConn syscall.RawConn) *socketReader {
-	return &socketReader{rawConn: rawConn, delivered: http2frames.NewClientScanner()}
+// newSocketReader returns a reader of a new connection's socket. It accounts in memory for what it delivers, and calls onRefusal, once,
+// where memory refuses that.
+func newSocketReader(rawConn syscall.RawConn, memory *callMemory, onRefusal func()) *socketReader {
+	return &socketReader{rawConn: rawConn, memory: memory, onRefusal: onRefusal, delivered: http2frames.NewClientScanner()}
 }
 
-// read delivers bytes to the library; it waits until there are some or the connection has ended.
+// read delivers bytes to the library; it waits until there are some or the connection has ended. Once memory has refused what would be
+// delivered next, it waits for the end of the connection.
 func (r *socketReader) read(b []byte) (int, error) {
 	if len(b) == 0 {
 		return 0, nil
 	}
 	n := r.deliver(b)
 	for n == 0 {
+		if r.refused {
+			r.onRefusal()
+			return 0, r.rawConn.Read(func(uintptr) bool { return false })
+		}
 		var fillErr error
 		if err := r.rawConn.Read(func(fd uintptr) bool {
 			fillErr = r.fill(fd)
@@ -65,14 +77,23 @@
 	return n, nil
 }
 
-// deliver moves unread bytes to b and returns how many.
+// deliver moves unread bytes to b and returns how many: those up to the first that memory refuses.
 func (r *socketReader) deliver(b []byte) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := copy(b, r.unread)
-	for delivered := r.unread[:n]; len(delivered) > 0; {
-		delivered = delivered[r.delivered.Next(delivered).Length:]
+	if r.refused {
+		return 0
+	}
+	n := 0
+	for n < min(len(b), len(r.unread)) {
+		piece := r.delivered.Next(r.unread[n:min(len(b), len(r.unread))])
+		if !r.memory.deliver(r.delivered.Frame(), piece) {
+			r.refused = true
+			break
+		}
+		n += piece.Length
 	}
+	copy(b, r.unread[:n])
 	r.unread = r.unread[n:]
 	return n
 }
--- a/internal/transport/flightfrontend/socket_reader_test.go
+++ b/internal/transport/flightfrontend/socket_reader_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/sys/unix"
 
+	"brackenfront/internal/transport/parts"
 	"brackenfront/internal/transport/tcptest"
 )
 
@@ -54,7 +55,7 @@
 		client.Close()
 		accepted.Close()
 	})
-	return &testSocket{t, client, newSocketReader(rawConn)}
+	return &testSocket{t, client, newSocketReader(rawConn, newCallMemory(&parts.MemoryBudget{}), func() {})}
 }
 
 // send sends bytes to the reader's end, and returns once its socket holds them.
--- a/internal/transport/flightfrontend/stream_stats.go
+++ b/internal/transport/flightfrontend/stream_stats.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 	"google.golang.org/grpc/tap"
@@ -31,12 +32,18 @@
 // callKey is the key under which a stream's context has its call.
 type callKey struct{}
 
-// tagStream puts the call of a new stream into the stream's context. The gRPC library calls it on the goroutine that reads the
+// tagStream puts the call of a new stream into the stream's context, and begins the account of the call's memory, which ends with that
+// context. It rejects the stream, with a status that promises nothing, where there is no memory for it. The gRPC library calls it on the goroutine that reads the
 // connection, after it has read the stream's headers and before it reads anything else, so that theirs is the frame that was
 // delivered last.
 func tagStream(ctx context.Context, _ *tap.Info) (context.Context, error) {
 	if conn, ok := ctx.Value(connKey{}).(*clientConn); ok && conn.reader != nil {
-		ctx = context.WithValue(ctx, callKey{}, conn.reader.deliveredCall())
+		newCall := conn.reader.deliveredCall()
+		if !conn.memory.open(newCall.stream) {
+			return ctx, status.Error(codes.Internal, "no memory for the call: nothing is promised")
+		}
+		context.AfterFunc(ctx, func() { conn.memory.end(newCall.stream) })
+		ctx = context.WithValue(ctx, callKey{}, newCall)
 	}
 	return ctx, nil
 }
--- a/internal/transport/http2frames/scanner.go
+++ b/internal/transport/http2frames/scanner.go
@@ -33,6 +33,8 @@
 	Length int
 	// Payload holds those bytes if they are payload of the frame that Frame returns; otherwise it is nil.
 	Payload []byte
+	// BeginsFrame says that the header of the frame that Frame returns is complete with the last of the bytes.
+	BeginsFrame bool
 	// EndsFrame says that the last of the bytes is the last one of the frame that Frame returns.
 	EndsFrame bool
 }
@@ -65,7 +67,7 @@
 		StreamID: binary.BigEndian.Uint32(s.header[5:]) &^ (1 << 31),
 	}
 	s.payloadLeft = int(s.frame.Length)
-	return Piece{Length: n, EndsFrame: s.payloadLeft == 0}
+	return Piece{Length: n, BeginsFrame: true, EndsFrame: s.payloadLeft == 0}
 }
 
 // Frame returns the header of the newest frame whose header is complete; the zero value before the first.
