--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -79,15 +79,7 @@
 	defer cancel(nil)
 	result := make(chan error, 1)
 	// This goroutine ends with the task. If the task never returns, it is counted as stuck.
-	go func() {
-		defer n.endTask(task.Name)
-		defer func() {
-			if r := recover(); r != nil {
-				result <- fmt.Errorf("fleet: task %s: panic: %v", task.Name, r)
-			}
-		}()
-		result <- do(taskCtx, taskLease)
-	}()
+	go n.executeTask(task.Name, result, func() error { return do(taskCtx, taskLease) })
 	var timeLimit <-chan time.Time
 	if task.MaxDuration > 0 {
 		timer := time.NewTimer(task.MaxDuration)
@@ -136,6 +128,27 @@
 	}
 }
 
+// executeTask calls a task's function and sends its error, or one that describes its panic, to result. Before that it removes the
+// task's name from runningTasks, as whoever has received the result may run the task again at once.
+func (n *Node) executeTask(name string, result chan<- error, function func() error) {
+	err := fmt.Errorf("fleet: task %s: its goroutine was ended", name)
+	defer func() {
+		n.endTask(name)
+		result <- err
+	}()
+	err = callRecovered(name, function)
+}
+
+// callRecovered calls a task's function and returns its error, or one that describes its panic.
+func callRecovered(name string, function func() error) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("fleet: task %s: panic: %v", name, r)
+		}
+	}()
+	return function()
+}
+
 // beginTask adds a task's name to runningTasks; it returns false if the name is there already, because an earlier run
 // of the task has not ended. endTask removes it.
 func (n *Node) beginTask(name string) bool {
--- a/internal/fleet/task_test.go
+++ b/internal/fleet/task_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -81,7 +82,11 @@
 			return nil
 		})
 	}()
-	<-began
+	select {
+	case <-began:
+	case err := <-ended:
+		t.Fatal("the task did not begin:", err)
+	}
 	from := time.Now()
 	fleet.close("c0")
 	if err := <-ended; err != ErrLost {
@@ -94,6 +99,29 @@
 	t.Logf("released and granted anew in %v, ttl %v s", time.Since(from), testTerms().TTL)
 }
 
+// TestTaskMayRunAgainOnceItsResultIsThere guards against a task that is refused as stuck though it has returned: its name is taken
+// out before its result is sent, also if it panics. The result is received only after that, so that the order is forced.
+func TestTaskMayRunAgainOnceItsResultIsThere(t *testing.T) {
+	errOwn := errors.New("its own")
+	for name, function := range map[string]func() error{
+		"returns": func() error { return errOwn },
+		"panics":  func() error { panic("mad") },
+		"ends its goroutine": func() error {
+			runtime.Goexit()
+			return nil
+		},
+	} {
+		node := &Node{runningTasks: map[string]bool{}}
+		node.beginTask("job")
+		result := make(chan error)
+		go node.executeTask("job", result, function)
+		waitUntil(t, "the task may run again", func() bool { return node.beginTask("job") })
+		if err := <-result; err == nil || name == "returns" && err != errOwn {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 // TestCloseReleasesAfterTaskEnds checks that a process that closes releases a lease only once the task under it has ended.
 func TestCloseReleasesAfterTaskEnds(t *testing.T) {
 	fleet := newTestFleet(t)
