Flight: a call makes up for a rejected head, so that connections of many users go on

A connection ended with its ninth rejected head, however many calls it had served: one with many users behind it would have ended for the faults of some over its life. Now rejected heads count less the calls that have begun.

--- a/cmd/brackenflight/badclients_test.go
+++ b/cmd/brackenflight/badclients_test.go
@@ -27,13 +27,13 @@
 var (
 	// badConnections is how many connections bad Flight clients open in TestBadFlightClientsStayWithinMemory.
 	badConnections = flag.Int("bad.conns", 320, "connections of bad clients in TestBadFlightClientsStayWithinMemory")
+	// badClientsMemoryMB is the memory limit of the program, in MB.
+	badClientsMemoryMB = flag.Int("bad.memory", 192, "memory_mb of the program in the tests of bad clients")
 	// badClientsTime is how long the clients of each kind come.
 	badClientsTime = flag.Duration("bad.time", 1500*time.Millisecond, "time for each kind of clients in TestBadFlightClientsStayWithinMemory")
 )
 
 const (
-	// badClientsMemoryMB is the memory that the configuration states, in MB.
-	badClientsMemoryMB = 192
 	// callsPerConnection is how many calls a bad client opens on a connection.
 	callsPerConnection = 64
 	// honestTimeLeft is how long the honest clients wait for their answers.
@@ -199,12 +199,12 @@
 			sent, answered := sendHonest(ctx, httpAddr)
 			running.Wait()
 			peak := peakMemoryMB(t, p.cmd.Process.Pid)
-			t.Logf("peak %d MB of %d; honest searches: %d sent, %d answered in time", peak, badClientsMemoryMB, sent, answered)
+			t.Logf("peak %d MB of %d; honest searches: %d sent, %d answered in time", peak, *badClientsMemoryMB, sent, answered)
 			if answered == 0 {
 				t.Error("no honest client was served")
 			}
-			if peak > badClientsMemoryMB {
-				t.Errorf("the program took %d MB of %d", peak, badClientsMemoryMB)
+			if peak > *badClientsMemoryMB {
+				t.Errorf("the program took %d MB of %d", peak, *badClientsMemoryMB)
 			}
 		})
 	}
--- a/cmd/brackenflight/fullspeed_test.go
+++ b/cmd/brackenflight/fullspeed_test.go
@@ -107,9 +107,9 @@
 			sent, answered := sendHonest(ctx, httpAddr)
 			running.Wait()
 			peak := peakMemoryMB(t, p.cmd.Process.Pid)
-			t.Logf("peak %d MB of %d; honest searches: %d sent, %d answered in time", peak, badClientsMemoryMB, sent, answered)
-			if peak > badClientsMemoryMB {
-				t.Errorf("the program took %d MB of %d", peak, badClientsMemoryMB)
+			t.Logf("peak %d MB of %d; honest searches: %d sent, %d answered in time", peak, *badClientsMemoryMB, sent, answered)
+			if peak > *badClientsMemoryMB {
+				t.Errorf("the program took %d MB of %d", peak, *badClientsMemoryMB)
 			}
 			if answered < sent {
 				t.Errorf("%d of %d honest searches were not answered in time", sent-answered, sent)
--- a/cmd/brackenflight/process_test.go
+++ b/cmd/brackenflight/process_test.go
@@ -28,9 +28,10 @@
 // testTimeout is the longest time that a test waits for something that has to happen.
 const testTimeout = 20 * time.Second
 
-// config is the program's configuration file as JSON; command replaces HOSTS in it by the entries of the node list.
+// config is the program's configuration file as JSON; command replaces HOSTS in it by the entries of the node list, and MEMORY by the
+// limit on memory.
 const config = `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
- "limits":{"cores":1.0,"memory_mb":192,"sockets":256},"known":{"seq":41,"whole":true,"hosts":[HOSTS]},
+ "limits":{"cores":1.0,"memory_mb":MEMORY,"sockets":256},"known":{"seq":41,"whole":true,"hosts":[HOSTS]},
  "settings":{"instances":1,"tick":5,"myZone":"a","discovery":"pushed","worthBy":"request",
  "lanes":[{"name":"all","effect":"read_like","target":4000,"giveUp":8000,"worth":1,"window":1000}],
  "tenants":[{"name":"acme","quotaPerS":1000}],
@@ -42,7 +43,7 @@
 // separated by commas, as the node list of its configuration.
 func command(t *testing.T, hosts string, args ...string) *exec.Cmd {
 	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, []byte(strings.Replace(config, "HOSTS", hosts, 1)), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(strings.NewReplacer("HOSTS", hosts, "MEMORY", fmt.Sprint(*badClientsMemoryMB)).Replace(config)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0], args...)
--- a/internal/transport/flightfrontend/call_memory.go
+++ b/internal/transport/flightfrontend/call_memory.go
@@ -23,8 +23,8 @@
 	// freeCallMemory is how many bytes of memory the calls of each connection may take without a reservation: enough for several
 	// ordinary calls, so that these are served whatever other clients hold.
 	freeCallMemory = 64 << 10
-	// maxRejectedHeads is how many heads of streams the gRPC library may reject on one connection, such as those with too many
-	// headers, before the connection ends. Each takes processor time, and no answer of the frontend slows their client down.
+	// maxRejectedHeads is how many more heads of streams the gRPC library may reject on one connection, such as those with too many
+	// headers, than calls begin on it. Each takes processor time, and no answer of the frontend slows their client down.
 	maxRejectedHeads = 8
 )
 
@@ -43,8 +43,8 @@
 	reserved int
 	// headBytes is how many bytes the header block that is being delivered has so far, by the lengths of its frames.
 	headBytes int
-	// pendingHeads is how many heads were delivered to the library less how many of them became calls. A call begins before the next
-	// head is delivered.
+	// pendingHeads is how many heads were delivered to the library that have not become calls, less one for each call that has: a call
+	// makes up for a rejected head. A call begins before the next head is delivered.
 	pendingHeads int
 }
 
@@ -57,7 +57,7 @@
 func (m *callMemory) open(stream uint32) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.pendingHeads--
+	m.pendingHeads = max(m.pendingHeads-2, 0)
 	m.calls[stream] = 0
 	if m.addLocked(stream, memoryPerCall) {
 		return true
@@ -79,7 +79,7 @@
 
 // deliver accounts for a piece of a frame that is delivered to the gRPC library, and reports whether the connection may go on: it may
 // not once there is no memory for the data of its calls, a head has more than maxHeaderBytes bytes, or the library has rejected more
-// than maxRejectedHeads heads.
+// than maxRejectedHeads heads that no call made up for.
 func (m *callMemory) deliver(frame http2.FrameHeader, piece http2frames.Piece) bool {
 	switch frame.Type {
 	case http2.FrameData:
--- a/internal/transport/flightfrontend/call_memory_test.go
+++ b/internal/transport/flightfrontend/call_memory_test.go
@@ -76,6 +76,12 @@
 			t.Fatal("an accepted call ends the connection")
 		}
 	}
+	// A call makes up for a rejected head, so that a connection of many users goes on.
+	for i := range 100 {
+		if !deliverHead() || !deliverHead() || !memory.open(uint32(2*i+201)) {
+			t.Fatal("a rejected head for each accepted call ends the connection")
+		}
+	}
 	for i := range maxRejectedHeads + 1 {
 		if !deliverHead() {
 			t.Fatalf("the connection ends with rejected head %d", i)
