--- a/internal/transport/clients/drain.go
+++ b/internal/transport/clients/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"brackenfront/internal/transport/sockets"
 )
 
 // finalResponseTime is how long requests in progress have for their final response when a drain is cut short, that is, once the
@@ -10,8 +12,8 @@
 const finalResponseTime = 2 * maxLingerTime
 
 // Drain ends the service and returns once every connection has ended. Connections on which no request has begun, except new
-// ones, close at once, and every other one after its response. New connections are accepted for another acceptFor; then those
-// that have sent nothing close as well. Requests in progress have until ctx ends; those that are not done by then get a final
+// ones, close at once, and every other one after its response. New connections are accepted for another acceptFor, and those that
+// the system has established by then; then those that have sent nothing close as well. Requests in progress have until ctx ends; those that are not done by then get a final
 // response that leaves open whether they ran. The shutdown of net/http is not used: it closes a connection while a request is
 // being read from it, and drops what it has read.
 func (s *Server) Drain(ctx context.Context, acceptFor time.Duration) {
@@ -23,6 +25,8 @@
 	case <-time.After(acceptFor):
 	case <-ctx.Done():
 	}
+	// After a pause of this process the time may be over before the connections that came in it are accepted.
+	sockets.AwaitAccepted(s.netListener)
 	s.netListener.Close()
 	<-s.acceptEnded
 	// These connections have sent nothing yet; their clients keep them open until the server closes them.
--- a/internal/transport/flightfrontend/frontend.go
+++ b/internal/transport/flightfrontend/frontend.go
@@ -27,6 +27,7 @@
 
 	"brackenfront/internal/protocol"
 	"brackenfront/internal/transport/parts"
+	"brackenfront/internal/transport/sockets"
 )
 
 const (
@@ -186,6 +187,9 @@
 	case <-time.After(acceptFor):
 	case <-ctx.Done():
 	}
+	// GracefulStop closes the listener. After a pause of this process the time may be over before the connections that came in it are
+	// accepted.
+	sockets.AwaitAccepted(f.netListener)
 	stopped := make(chan struct{})
 	go func() {
 		f.server.GracefulStop()
