Clients: body bytes that nobody keeps take nothing from the memory budget

Cause: the account took all bytes of a connection, also those that net/http reads and drops behind a refusal, so that some twenty of these at once used the budget up (68 connections of that moment ended with code=memory).

--- a/internal/protocol/request_framing.go
+++ b/internal/protocol/request_framing.go
@@ -187,6 +187,9 @@
 // ConfirmHead is called for that request.
 func (f *RequestFraming) HeadComplete() bool { return f.err == nil && f.currentHead.complete }
 
+// InHead reports whether the next byte belongs to the head of a request, or begins one.
+func (f *RequestFraming) InHead() bool { return f.state <= afterHeadCR || f.state == requestEnded }
+
 // FieldCount returns the number of fields that have begun in the head and the trailer of the most recent request.
 func (f *RequestFraming) FieldCount() int { return f.fieldCount }
 
--- a/internal/transport/clients/handler.go
+++ b/internal/transport/clients/handler.go
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	r = r.WithContext(ctx)
-	r.Body = &notifyingBody{r.Body, func() {
+	r.Body = &notifyingBody{r.Body, c.addBodyMemory, func() {
 		controller.SetReadDeadline(time.Time{})
 		// A search must not be sent to nodes if its client has closed the connection: after a pause of this process, a request
 		// and its client's end may both are unread.
@@ -122,17 +122,22 @@
 	return status >= 400 && status < 500 && status != http.StatusTooManyRequests
 }
 
-// notifyingBody is a request body that calls onEOF once it has been read completely.
+// notifyingBody is a request body that calls onRead for what was read, and onEOF once it has been read completely.
 type notifyingBody struct {
 	// ReadCloser is the body itself.
 	io.ReadCloser
+	// onRead is called by each read with the number of bytes; reading fails with its error if that is not nil.
+	onRead func(bytes int) error
 	// onEOF is called by each read that returns the end of the body.
 	onEOF func()
 }
 
-// Read reads from the body, and calls onEOF at its end.
+// Read reads from the body, and calls onRead, and onEOF at its end.
 func (b *notifyingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if refused := b.onRead(n); refused != nil {
+		return 0, refused
+	}
 	if err == io.EOF {
 		b.onEOF()
 	}
--- a/internal/transport/clients/receive.go
+++ b/internal/transport/clients/receive.go
@@ -83,11 +83,12 @@
 
 // advanceFraming passes bytes to the framing and returns how many of them belong to the current request. c.mu must be held.
 // The framing is the parser that finds where requests end; it fails where a request is malformed or its end is ambiguous.
-// advanceFraming also fails where there is no memory for the bytes, which are discarded then.
+// advanceFraming also fails where there is no memory for the bytes of a head, which are discarded then.
 func (c *conn) advanceFraming(b []byte) (n int, err error) {
 	c.noteRequestBegun()
+	inHead := c.framing.InHead()
 	n, err = c.framing.Accept(b)
-	if err == nil && !c.memory.add(n, c.framing.FieldCount()) {
+	if err == nil && inHead && !c.memory.add(n, c.framing.FieldCount()) {
 		c.refusal = errNoRequestMemory
 		return 0, c.refusal
 	}
@@ -99,6 +100,20 @@
 	return n, err
 }
 
+// addBodyMemory accounts for bytes of the current request's body that its handler has read, and returns errNoRequestMemory if there is
+// no memory for them. Bytes that nobody keeps, such as those that net/http reads behind a response, are not accounted for.
+func (c *conn) addBodyMemory(bytes int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.memory.add(bytes, c.framing.FieldCount()) {
+		return nil
+	}
+	if c.endCode == "" {
+		c.endCode = codeMemory
+	}
+	return errNoRequestMemory
+}
+
 // noteRequestBegun records that bytes of a request have arrived, so that the connection no longer counts as unused. c.mu must
 // be held.
 func (c *conn) noteRequestBegun() {
--- a/internal/transport/clients/request_memory.go
+++ b/internal/transport/clients/request_memory.go
@@ -10,7 +10,7 @@
 // are copied while they are read, and as net/http and the reverse proxy keep the header fields in maps.
 const (
 	// memoryPerByte is the memory, in bytes, for each byte of a request.
-	memoryPerByte = 4
+	memoryPerByte = 6
 	// memoryPerField is the memory, in bytes, for each field of its head and trailer besides that.
 	memoryPerField = 512
 )
@@ -30,7 +30,7 @@
 type requestMemory struct {
 	// budget is shared by the requests of all connections.
 	budget *parts.MemoryBudget
-	// requestBytes is how many bytes of the request have come.
+	// requestBytes is how many bytes of the request's head have come, and of its body have been read by its handler.
 	requestBytes int
 	// reserved is how many bytes of the budget are reserved for the request.
 	reserved int
