--- a/internal/transport/flightfrontend/call_memory_test.go
+++ b/internal/transport/flightfrontend/call_memory_test.go
@@ -78,7 +78,9 @@
 	}
 	// A call makes up for a rejected head, so that a connection of many users goes on.
 	for i := range 100 {
-		if !deliverHead() || !deliverHead() || !memory.open(uint32(2*i+201)) {
+		rejected := deliverHead()
+		accepted := deliverHead() && memory.open(uint32(2*i+201))
+		if !rejected || !accepted {
 			t.Fatal("a rejected head for each accepted call ends the connection")
 		}
 	}
