--- a/cmd/brackenflight/badclients_test.go
+++ b/cmd/brackenflight/badclients_test.go
@@ -9,11 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
-	"regexp"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +16,7 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"brackenfront/internal/processtest"
 	"brackenfront/internal/standin"
 )
 
@@ -158,33 +154,11 @@
 	return sent, answered
 }
 
-// peakMemoryMB returns the largest resident memory that a process has had, in MB.
-func peakMemoryMB(t *testing.T, pid int) int {
-	t.Helper()
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	match := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(raw)
-	if err != nil || match == nil {
-		t.Fatalf("no peak of the memory: %v", err)
-	}
-	kilobytes, _ := strconv.Atoi(string(match[1]))
-	return kilobytes >> 10
-}
-
-// buildProgram builds the program, without the race detector, which takes several times the memory.
-func buildProgram(t *testing.T) string {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "brackenflight")
-	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
-	return program
-}
-
 // TestBadFlightClientsStayWithinMemory guards against Flight clients that take a broker over its memory, with more connections than by
 // default: calls that stop within their messages, data in very small frames, and heads of very many header fields, while honest clients
 // send searches over HTTP.
 func TestBadFlightClientsStayWithinMemory(t *testing.T) {
-	program := buildProgram(t)
+	program := processtest.Build(t)
 	for name, write := range badFlightClients {
 		t.Run(name, func(t *testing.T) {
 			p := startProgramFile(t, program, standin.NewScript(), "", "--set", fmt.Sprint("flight.conns=", *badConnections))
@@ -198,7 +172,7 @@
 			}
 			sent, answered := sendHonest(ctx, httpAddr)
 			running.Wait()
-			peak := peakMemoryMB(t, p.cmd.Process.Pid)
+			peak := processtest.PeakMemoryMB(t, p.cmd.Process.Pid)
 			t.Logf("peak %d MB of %d; honest searches: %d sent, %d answered in time", peak, *badClientsMemoryMB, sent, answered)
 			if answered == 0 {
 				t.Error("no honest client was served")
--- a/cmd/brackenflight/fullspeed_test.go
+++ b/cmd/brackenflight/fullspeed_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"brackenfront/internal/processtest"
 	"brackenfront/internal/standin"
 )
 
@@ -94,7 +95,7 @@
 // TestOneFlightClientAtFullSpeed guards against a Flight client that sends small or unsound frames and calls at full speed on one
 // connection, under ever new names: honest clients over HTTP must be served, and the memory must stay within the limit.
 func TestOneFlightClientAtFullSpeed(t *testing.T) {
-	program := buildProgram(t)
+	program := processtest.Build(t)
 	for name, write := range fullSpeedFlightClients {
 		t.Run(name, func(t *testing.T) {
 			p := startProgramFile(t, program, standin.NewScript(), "")
@@ -106,7 +107,7 @@
 			running.Go(func() { playBadClient(ctx, flightAddr, write) })
 			sent, answered := sendHonest(ctx, httpAddr)
 			running.Wait()
-			peak := peakMemoryMB(t, p.cmd.Process.Pid)
+			peak := processtest.PeakMemoryMB(t, p.cmd.Process.Pid)
 			t.Logf("peak %d MB of %d; honest searches: %d sent, %d answered in time", peak, *badClientsMemoryMB, sent, answered)
 			if peak > *badClientsMemoryMB {
 				t.Errorf("the program took %d MB of %d", peak, *badClientsMemoryMB)
--- a/cmd/brackenfront/badclients_test.go
+++ b/cmd/brackenfront/badclients_test.go
@@ -8,16 +8,13 @@
 	"maps"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
-	"regexp"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"brackenfront/internal/processtest"
 )
 
 var (
@@ -192,33 +189,11 @@
 	}
 }
 
-// peakMemoryMB returns the largest resident memory that a process has had, in MB.
-func peakMemoryMB(t *testing.T, pid int) int {
-	t.Helper()
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	match := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(raw)
-	if err != nil || match == nil {
-		t.Fatalf("no peak of the memory: %v", err)
-	}
-	kilobytes, _ := strconv.Atoi(string(match[1]))
-	return kilobytes >> 10
-}
-
-// buildProgram builds the program, without the race detector, which takes several times the memory.
-func buildProgram(t *testing.T) string {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "brackenfront")
-	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
-	return program
-}
-
 // TestBadClientsStayWithinMemory guards against clients that take a broker over its memory, by default with the least memory and the
 // most descriptors that the platform gives one: as many clients of one kind as may hold descriptors write large, slow or unfinished requests, or requests of very many
 // small pieces, while honest clients send searches.
 func TestBadClientsStayWithinMemory(t *testing.T) {
-	program := buildProgram(t)
+	program := processtest.Build(t)
 	kinds := badClients()
 	names := slices.Sorted(maps.Keys(kinds))
 	for _, name := range append(names, "all kinds") {
@@ -235,7 +210,7 @@
 					return "hit"
 				})
 			}
-			before := peakMemoryMB(t, broker.command.Process.Pid)
+			before := processtest.PeakMemoryMB(t, broker.command.Process.Pid)
 			stop := make(chan struct{})
 			time.AfterFunc(*badClientsTime, func() { close(stop) })
 			var running sync.WaitGroup
@@ -248,7 +223,7 @@
 			}
 			honest := broker.sendHonest(stop)
 			running.Wait()
-			peak := peakMemoryMB(t, broker.command.Process.Pid)
+			peak := processtest.PeakMemoryMB(t, broker.command.Process.Pid)
 			t.Logf("peak %d MB of %d (%d before); honest searches: %d sent, %d answered, %d refused, %d not in time", peak,
 				*badClientsMemory, before, honest.sent, honest.answered, honest.refused, honest.late)
 			if honest.answered == 0 {
--- a/cmd/brackenfront/fullspeed_test.go
+++ b/cmd/brackenfront/fullspeed_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"brackenfront/internal/processtest"
 )
 
 // fullSpeedRequests returns, by what they are, functions that return the request with a given number: one client sends them on one
@@ -77,7 +79,7 @@
 // TestOneClientAtFullSpeed guards against a client that sends small or unsound requests at full speed on one connection, under ever new
 // names: others must have their answers, and the memory must stay within the limit.
 func TestOneClientAtFullSpeed(t *testing.T) {
-	program := buildProgram(t)
+	program := processtest.Build(t)
 	for name, request := range fullSpeedRequests() {
 		t.Run(name, func(t *testing.T) {
 			broker := startProgram(t, program, `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, *badClientsMemory))
@@ -90,7 +92,7 @@
 			running.Go(func() { written = sendAtFullSpeed(broker.addr, request, stop) })
 			honest := broker.sendHonest(stop)
 			running.Wait()
-			peak := peakMemoryMB(t, broker.command.Process.Pid)
+			peak := processtest.PeakMemoryMB(t, broker.command.Process.Pid)
 			t.Logf("%d requests; peak %d MB of %d; honest searches: %d sent, %d answered, %d refused, %d not in time", written, peak,
 				*badClientsMemory, honest.sent, honest.answered, honest.refused, honest.late)
 			if peak > *badClientsMemory {
--- a/internal/transport/clients/receive.go
+++ b/internal/transport/clients/receive.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"brackenfront/internal/transport/sockets"
 )
 
 // readSocket waits for bytes from the client, reads them into b, and returns how many of them net/http may have: those of one
@@ -34,7 +34,7 @@
 	err := c.rawConn.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.readInProgress = !c.writeClosed && isReadable(fd)
+		c.readInProgress = !c.writeClosed && sockets.Readable(fd)
 		return c.readInProgress || c.writeClosed
 	})
 	var failed *net.OpError
@@ -45,13 +45,6 @@
 	return err
 }
 
-// isReadable reports, without waiting, whether the socket with descriptor fd has bytes or an end of stream to read.
-func isReadable(fd uintptr) bool {
-	sockets := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-	n, err := unix.Poll(sockets, 0)
-	return err == nil && n > 0
-}
-
 // hasUnread reports whether the connection has received bytes, or the client's close, that no read has processed yet. c.mu
 // must be held.
 func (c *conn) hasUnread() (unread bool) {
@@ -59,7 +52,7 @@
 		return true
 	}
 	if c.rawConn != nil {
-		c.rawConn.Control(func(fd uintptr) { unread = isReadable(fd) })
+		c.rawConn.Control(func(fd uintptr) { unread = sockets.Readable(fd) })
 	}
 	return unread
 }
--- a/internal/transport/clients/testserver_test.go
+++ b/internal/transport/clients/testserver_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
+
+	"brackenfront/internal/transport/sockets"
 )
 
 // maxTestWait bounds every wait of a test. No wait is expected to come near it.
@@ -214,7 +216,7 @@
 	s.Helper()
 	s.waitUntil("unread bytes", func() bool {
 		return s.allConns(1, func(c *conn) (unread bool) {
-			c.rawConn.Control(func(fd uintptr) { unread = isReadable(fd) })
+			c.rawConn.Control(func(fd uintptr) { unread = sockets.Readable(fd) })
 			return unread
 		})
 	})
--- a/internal/transport/sockets/backlog.go
+++ b/internal/transport/sockets/backlog.go
@@ -4,8 +4,6 @@
 	"net"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -34,10 +32,6 @@
 	if err != nil {
 		return false
 	}
-	rawConn.Control(func(fd uintptr) {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(polled, 0)
-		waiting = err == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
-	})
+	rawConn.Control(func(fd uintptr) { waiting = Readable(fd) })
 	return waiting
 }
--- a/internal/transport/sockets/sockets.go
+++ b/internal/transport/sockets/sockets.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// Readable reports, without waiting, whether the socket with descriptor fd has bytes or an end of stream to read or, if it listens, a
+// connection to accept.
+func Readable(fd uintptr) bool {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	n, err := unix.Poll(polled, 0)
+	return err == nil && n > 0 && polled[0].Revents&unix.POLLNVAL == 0
+}
+
 // ClosedBehindUnread reports whether the peer of the socket with descriptor fd has closed its sending side, also where unread bytes
 // precede the close; it reads none of them. A close is not detected while more unread bytes precede it than the system buffers.
 func ClosedBehindUnread(fd uintptr) bool {
--- a/internal/transport/watch/unread.go
+++ b/internal/transport/watch/unread.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"syscall"
 
-	"golang.org/x/sys/unix"
+	"brackenfront/internal/transport/sockets"
 )
 
 // discoveryConn is a connection to discovery that knows whether it has brought anything that the Watcher has not delivered yet.
@@ -42,11 +42,7 @@
 		return true
 	}
 	if c.rawConn != nil {
-		c.rawConn.Control(func(fd uintptr) {
-			polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-			n, err := unix.Poll(polled, 0)
-			unread = err == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
-		})
+		c.rawConn.Control(func(fd uintptr) { unread = sockets.Readable(fd) })
 	}
 	// The bytes may have been read between the two looks.
 	return unread || c.handling.Load()
