Fleet: the end of a broker's former connection does not remove its new one

Not seen to happen. The table knows the connection now. TestReconnectedPeerStaysInbound forces the order and fails with the former code.

--- a/internal/fleet/founding_test.go
+++ b/internal/fleet/founding_test.go
@@ -175,3 +175,22 @@
 		t.Error("a council is founded with a broker that knows of another")
 	}
 }
+
+// TestReconnectedPeerStaysInbound guards against a broker that is overlooked, so that its new disk is never admitted: it connects again,
+// as it does to tell of its disk, and the end of its former connection is noticed after that.
+func TestReconnectedPeerStaysInbound(t *testing.T) {
+	m := foundingMember(t)
+	former, latter := &wire.Conn{}, &wire.Conn{}
+	hello := wire.Hello{Broker: "b9", StorageID: 9, StorageBlank: true}
+	m.addInbound(former, hello)
+	hello.WriteCount = 1
+	m.addInbound(latter, hello)
+	m.removeInbound(hello.Broker, former)
+	if remote := m.inbound["b9"]; remote == nil || remote.WriteCount != 1 {
+		t.Errorf("the broker is overlooked: %+v", remote)
+	}
+	m.removeInbound(hello.Broker, latter)
+	if m.inbound["b9"] != nil {
+		t.Error("a broker without a connection is kept")
+	}
+}
--- a/internal/fleet/inbound.go
+++ b/internal/fleet/inbound.go
@@ -27,6 +27,8 @@
 type inboundPeer struct {
 	// Hello is what the broker said of itself in the connection's handshake; StorageBlank is kept up to date after that.
 	wire.Hello
+	// conn is the connection. A broker that connects again may do so before the end of its earlier connection is noticed.
+	conn *wire.Conn
 	// foundingSentTick is the value of member.ticks when the founding snapshot was last sent to the broker; neverSentTick
 	// before.
 	foundingSentTick int
@@ -36,7 +38,7 @@
 // in the handshake. It returns the connection's error, which wire.ReasonCode classifies, or nil, without serving the
 // connection, if ctx or this member's goroutine (run) has ended already.
 func (m *member) servePeer(ctx context.Context, conn *wire.Conn, remoteHello wire.Hello) error {
-	defer m.do(ctx, func() { m.removeInbound(remoteHello) })
+	defer m.do(ctx, func() { m.removeInbound(remoteHello.Broker, conn) })
 	if !m.do(ctx, func() { m.addInbound(conn, remoteHello) }) {
 		return nil
 	}
@@ -92,14 +94,14 @@
 	if previous := m.inbound[remoteHello.Broker]; previous != nil && previous.Process != remoteHello.Process && previous.StorageID != remoteHello.StorageID {
 		m.node.countEvent("two of one name")
 	}
-	m.inbound[remoteHello.Broker] = &inboundPeer{Hello: remoteHello, foundingSentTick: neverSentTick}
+	m.inbound[remoteHello.Broker] = &inboundPeer{Hello: remoteHello, conn: conn, foundingSentTick: neverSentTick}
 	m.updatePeers()
 }
 
-// removeInbound removes a broker whose connection has ended, unless it has connected again with another process or disk.
-func (m *member) removeInbound(remoteHello wire.Hello) {
-	if remote := m.inbound[remoteHello.Broker]; remote != nil && remote.Process == remoteHello.Process && remote.StorageID == remoteHello.StorageID {
-		delete(m.inbound, remoteHello.Broker)
+// removeInbound removes a broker whose connection conn has ended, unless it has connected again.
+func (m *member) removeInbound(broker string, conn *wire.Conn) {
+	if remote := m.inbound[broker]; remote != nil && remote.conn == conn {
+		delete(m.inbound, broker)
 	}
 }
 
