--- a/internal/program/daemon.go
+++ b/internal/program/daemon.go
@@ -116,7 +116,6 @@
 	}
 	d.router.LimitReplayMemory(d.config.MemoryBytes / replayMemoryDivisor)
 	d.watcher = watch.New(d.config.DiscoveryAddress, d.config.InitialNodes, d.tick, d.log, d.router.UpdateNodes, d.router.DiscoveryFailed)
-	d.router.SetListCheck(d.watcher.Unread)
 	d.roundTripper = d.router.RoundTripper()
 	return nil
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -77,13 +77,6 @@
 	// startWatch subscribes to the list of nodes, on the broker's request; it does nothing unless SetWatchStarter has set
 	// it.
 	startWatch func()
-	// listUnread reports, without waiting, whether updates of discovery lie at this machine that were not passed to UpdateNodes yet;
-	// always false unless SetListCheck has set it.
-	listUnread func() bool
-	// listWaitEnd is until when attempts wait for unread updates of discovery after a late turn; the zero time if they do not.
-	listWaitEnd time.Time
-	// awaitingList is set in a turn in which no attempts are decided on, as updates of discovery lie unread.
-	awaitingList bool
 	// callQueue is the queue of functions to run on the router's goroutine; other goroutines add to it, and wait while
 	// it is full.
 	callQueue chan func()
@@ -171,7 +164,6 @@
 		deployment:   deployment,
 		backends:     backends,
 		startWatch:   func() {},
-		listUnread:   func() bool { return false },
 		callQueue:    make(chan func(), deployment.MaxInFlight),
 		stop:         make(chan struct{}),
 		ended:        make(chan struct{}),
@@ -207,10 +199,6 @@
 // list. It must be called before Start, as the broker may do so while Start runs.
 func (r *Router) SetWatchStarter(start func()) { r.startWatch = start }
 
-// SetListCheck sets the function that reports, without waiting, whether updates of discovery lie at this machine that were not passed to
-// UpdateNodes yet. After a pause of the process the router asks it before it decides on attempts. It must be called before Start.
-func (r *Router) SetListCheck(listUnread func() bool) { r.listUnread = listUnread }
-
 // Start applies the list of nodes that New received and lets the broker act on it, on the caller's goroutine, and then starts
 // the router's own goroutine.
 func (r *Router) Start() {
--- a/internal/routing/turn.go
+++ b/internal/routing/turn.go
@@ -12,10 +12,6 @@
 // that, the process may have been paused, and the router checks first whether clients have disconnected meanwhile.
 const lateTurnTicks = 2
 
-// listWaitTicks is how long, in units of the setting Tick, a late turn and those after it decide on no attempts because updates of
-// discovery lie unread. It bounds what a slow discovery can delay.
-const listWaitTicks = 10
-
 // run is the router's goroutine: until Stop is called, it begins a turn when a function is queued and when the timer fires,
 // and runs in it at most as many queued functions as the queue has room for, and one more. A panic in it is meant to end the
 // process, as the program must not accept searches without this goroutine.
@@ -33,29 +29,24 @@
 		case <-r.stop:
 			return
 		}
-		r.continueTurn()
-	}
-}
-
-// continueTurn runs the queued functions of a turn that has begun, and ends the turn.
-func (r *Router) continueTurn() {
-	for range cap(r.callQueue) {
-		select {
-		case call := <-r.callQueue:
-			call()
-			r.sendFinalAnswers()
-			continue
-		default:
+		for range cap(r.callQueue) {
+			select {
+			case call := <-r.callQueue:
+				call()
+				r.sendFinalAnswers()
+				continue
+			default:
+			}
+			break
 		}
-		break
+		r.expireAttempts()
+		r.sendFinalAnswers()
+		r.finishTurn()
 	}
-	r.expireAttempts()
-	r.sendFinalAnswers()
-	r.finishTurn()
 }
 
 // beginTurn begins a turn: it reads the clock, ends the searches whose clients have disconnected if the turn is late
-// (lateTurnTicks), looks for unread updates of discovery then, and passes the allowance to the broker if it has changed.
+// (lateTurnTicks), and passes the allowance to the broker if it has changed.
 func (r *Router) beginTurn() {
 	r.turnTime = time.Now()
 	r.now = r.startSeconds + r.turnTime.Sub(r.startTime).Seconds()
@@ -64,15 +55,6 @@
 	r.broker.BeginTurn(r.now)
 	if late {
 		r.endDisconnectedSearches()
-		// The turns of a wait are late, too, and do not prolong it.
-		if r.listWaitEnd.IsZero() {
-			r.listWaitEnd = r.turnTime.Add(listWaitTicks * r.tick)
-		}
-	}
-	// What was delivered before this look is in the queue, and is applied in this turn.
-	r.awaitingList = r.turnTime.Before(r.listWaitEnd) && r.listUnread()
-	if !r.awaitingList {
-		r.listWaitEnd = time.Time{}
 	}
 	if r.allowances != nil {
 		if allowance := r.allowances.CurrentAllowance(); allowance != r.allowance {
@@ -93,12 +75,11 @@
 	}
 }
 
-// finishTurn ends a turn: it runs the deferred calls, lets the broker decide on attempts, and sends these. It leaves all of that to a
-// later turn while awaitingList is set. If deciding and
+// finishTurn ends a turn: it runs the deferred calls, lets the broker decide on attempts, and sends these. If deciding and
 // sending have added deferred calls, it begins another turn for them, and so on until none is left. At the end it reports
 // the changes of zones' stages. Queued functions are left for the next turn that run begins.
 func (r *Router) finishTurn() {
-	for !r.awaitingList {
+	for {
 		for len(r.deferredCalls) > 0 {
 			call := r.deferredCalls[0]
 			r.deferredCalls = r.deferredCalls[1:]
@@ -171,8 +152,7 @@
 	return true
 }
 
-// armTimer sets the timer to wakeAt, when the broker wants the next turn to begin at the latest, or to one tick from now if updates of
-// discovery are awaited.
+// armTimer sets the timer to wakeAt, when the broker wants the next turn to begin at the latest.
 func (r *Router) armTimer() {
 	if !r.timer.Stop() {
 		select {
@@ -180,11 +160,7 @@
 		default:
 		}
 	}
-	wait := time.Duration((r.wakeAt - r.clockSeconds()) * float64(time.Second))
-	if r.awaitingList {
-		wait = r.tick
-	}
-	r.timer.Reset(wait)
+	r.timer.Reset(time.Duration((r.wakeAt - r.clockSeconds()) * float64(time.Second)))
 }
 
 // clockSeconds returns the current time of the broker's clock, in seconds.
--- a/internal/transport/watch/watch.go
+++ b/internal/transport/watch/watch.go
@@ -20,7 +20,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -73,8 +72,6 @@
 	httpClient http.Client
 	// heartbeatInterval is the constant of that name, except in tests.
 	heartbeatInterval time.Duration
-	// conn is the connection to discovery that was opened last; nil before the first.
-	conn atomic.Pointer[discoveryConn]
 	// stop ends the goroutine of run; nil before Start, and after Close a function that does nothing.
 	stop context.CancelFunc
 	// running lets Close wait for the goroutine of run.
@@ -136,13 +133,7 @@
 func (w *Watcher) connect(ctx context.Context, _, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.heartbeatIntervals(maxDelay))
 	defer cancel()
-	opened, err := w.dial.DialWithRetry(ctx, addr, w.closeUnused, w.retryWait, w.heartbeatIntervals(maxDelay))
-	if err != nil {
-		return nil, err
-	}
-	conn := newDiscoveryConn(opened)
-	w.conn.Store(conn)
-	return conn, nil
+	return w.dial.DialWithRetry(ctx, addr, w.closeUnused, w.retryWait, w.heartbeatIntervals(maxDelay))
 }
 
 // SetCloseUnused sets the function that is called where the process has no file descriptor left for a connection to
