--- a/internal/transport/clients/departed_test.go
+++ b/internal/transport/clients/departed_test.go
@@ -72,6 +72,8 @@
 	server.readOK(responses)
 	ctx := <-contexts
 	<-ctx.Done()
+	// Until then the server still looks for the client's close, and sets bytes of a next request aside.
+	server.waitUntil("an idle connection", func() bool { return server.allConns(1, func(c *conn) bool { return c.idle }) })
 	io.WriteString(client, searchRequest)
 	server.waitUntil("unread bytes", func() bool {
 		return server.allConns(1, func(c *conn) (unread bool) {
