--- a/internal/transport/flightfrontend/stream_stats.go
+++ b/internal/transport/flightfrontend/stream_stats.go
@@ -33,9 +33,9 @@
 type callKey struct{}
 
 // tagStream puts the call of a new stream into the stream's context, and begins the account of the call's memory, which ends with that
-// context. It rejects the stream, with a status that promises nothing, where there is no memory for it. The gRPC library calls it on the goroutine that reads the
-// connection, after it has read the stream's headers and before it reads anything else, so that theirs is the frame that was
-// delivered last.
+// context. It rejects the stream, with a status that promises nothing, where there is no memory for it. The gRPC library calls it on
+// the goroutine that reads the connection, after it has read the stream's headers and before it reads anything else, so that theirs is
+// the frame that was delivered last.
 func tagStream(ctx context.Context, _ *tap.Info) (context.Context, error) {
 	if conn, ok := ctx.Value(connKey{}).(*clientConn); ok && conn.reader != nil {
 		newCall := conn.reader.deliveredCall()
