--- a/internal/transport/clients/drain.go
+++ b/internal/transport/clients/drain.go
@@ -14,8 +14,8 @@
 // Drain ends the service and returns once every connection has ended. Connections on which no request has begun, except new
 // ones, close at once, and every other one after its response. New connections are accepted for another acceptFor, and those that
 // the system has established by then; then those that have sent nothing close as well. Requests in progress have until ctx ends;
-// those that are not done by then get a final response that leaves open whether they ran. The shutdown of net/http is not used: it closes a connection while a request is
-// being read from it, and drops what it has read.
+// those that are not done by then get a final response that leaves open whether they ran. The shutdown of net/http is not used: it
+// closes a connection while a request is being read from it, and drops what it has read.
 func (s *Server) Drain(ctx context.Context, acceptFor time.Duration) {
 	s.draining.Store(true)
 	for _, c := range s.openConns() {
