Fleet: operators' commands follow a reply to a leader that their list does not have

Callers saw "no broker of the council answered as its leader" whenever a broker led that had joined by a replacement and was not yet in the operator's list, although the docs say that this list can wait.

Cause: askLeader followed the leader's name within its own list; a name outside it made it skip every further broker. Excluded: the council, whose members all named the leader in each refusal.

Replies are followed to the address that they carry; a listed address goes first. The new test fails on the code before for both brokers that do not lead.

--- a/internal/fleet/admin.go
+++ b/internal/fleet/admin.go
@@ -66,24 +66,21 @@
 }
 
 // askLeader sends a request to the council's leader: it asks the council's brokers in turn and follows their replies that
-// name the leader. The error is ErrNoLeaderReply, joined with the last broker's error, or the error text of the leader's
-// reply.
+// name the leader, who may not be in Council. The error is ErrNoLeaderReply, joined with the last broker's error, or the error
+// text of the leader's reply.
 func (a AdminClient) askLeader(ctx context.Context, request clientRequest) (reply clientReply, err error) {
-	next := ""
 	for range leaderRoundsPerBroker * len(a.Council) {
 		for _, configured := range a.Council {
-			if next != "" && configured.Broker != next {
-				continue
-			}
-			next = ""
 			reply, err = a.askBroker(ctx, configured.Addr, request)
+			if leaderAddr := a.leaderAddr(reply); err == nil && leaderAddr != "" && leaderAddr != configured.Addr {
+				reply, err = a.askBroker(ctx, leaderAddr, request)
+			}
 			if err == nil && reply.Err != council.ErrNotLeader.Error() {
 				if reply.Err != "" {
 					err = errors.New(reply.Err)
 				}
 				return reply, err
 			}
-			next = reply.Leader
 		}
 		select {
 		case <-ctx.Done():
@@ -94,6 +91,20 @@
 	return reply, errors.Join(ErrNoLeaderReply, err)
 }
 
+// leaderAddr returns the address, host:port, of the leader that a reply names; empty if it names none. An address in Council
+// goes before the one in the reply.
+func (a AdminClient) leaderAddr(reply clientReply) string {
+	if reply.Err != council.ErrNotLeader.Error() {
+		return ""
+	}
+	for _, configured := range a.Council {
+		if configured.Broker == reply.Leader {
+			return configured.Addr
+		}
+	}
+	return reply.LeaderAddr
+}
+
 // Statuses asks every broker of the council for its status. It returns the statuses in order of the brokers' names, and
 // for the brokers that did not return one the errors, by the broker's name.
 func (a AdminClient) Statuses(ctx context.Context) (all []Status, failed map[string]error) {
--- a/internal/fleet/council_test.go
+++ b/internal/fleet/council_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// TestAdminFollowsUnlistedLeader guards against a council that an operator cannot reach after a replacement: the leader is not
+// among the brokers that the operator's settings list, and the listed one, which does not lead, names it.
+func TestAdminFollowsUnlistedLeader(t *testing.T) {
+	fleet := newTestFleet(t)
+	fleet.start("b0", "b1", "b2", "c0")
+	fleet.mustAcquire("c0", "job")
+	for _, listed := range fleet.council {
+		admin := AdminClient{[]CouncilBroker{listed}, fleet.nodes["c0"].keys, fleet.environment}
+		if leases, err := admin.Leases(t.Context(), "", 1); err != nil || len(leases.Leases) != 1 {
+			t.Errorf("asked %s alone: %v %v", listed.Broker, leases, err)
+		}
+	}
+}
+
 // TestReplaceMember checks that an operator can replace a member of the council by another broker while leases are held.
 func TestReplaceMember(t *testing.T) {
 	fleet := newTestFleet(t)
