Fleet: a member keeps all connections of a broker and goes by the newest

Cause: a broker that has written its disk connects again. The two connections are handled by goroutines of their own; where the former was added last it took the new one's place, and its end left none. The table kept one connection a broker. Excluded: the peer itself (connected, no old disk refused, the other members' tables have it).

The table keeps a broker's open connections, ordered by the state of the disk that they stated; the newest counts. The test adds both orders by hand and fails with either guard taken out.

--- a/internal/fleet/founding_test.go
+++ b/internal/fleet/founding_test.go
@@ -134,7 +134,7 @@
 		n.member.store.Close()
 	})
 	for i, broker := range []string{"b1", "b2"} {
-		n.member.inbound[broker] = &inboundPeer{Hello: wire.Hello{Broker: broker, StorageID: uint64(i + 1), StorageBlank: true}}
+		n.member.inbound[broker] = []*inboundPeer{{Hello: wire.Hello{Broker: broker, StorageID: uint64(i + 1), StorageBlank: true}}}
 	}
 	return n.member
 }
@@ -167,7 +167,7 @@
 // a founding.
 func TestFoundingNeedsUnusedDisks(t *testing.T) {
 	m := foundingMember(t)
-	m.inbound["b2"].WriteCount = 1
+	m.inboundPeer("b2").WriteCount = 1
 	for range 2 * foundingWaitTicks {
 		m.manageMembership()
 	}
@@ -176,21 +176,30 @@
 	}
 }
 
-// TestReconnectedPeerStaysInbound guards against a broker that is overlooked, so that its new disk is never admitted: it connects again,
-// as it does to tell of its disk, and the end of its former connection is noticed after that.
+// TestReconnectedPeerStaysInbound guards against a broker that is overlooked, so that its new disk is never admitted: it connects
+// again, as it does to tell of its disk. Its two connections may be added in any order, and the end of the former is noticed
+// after both.
 func TestReconnectedPeerStaysInbound(t *testing.T) {
-	m := foundingMember(t)
 	former, latter := &wire.Conn{}, &wire.Conn{}
-	hello := wire.Hello{Broker: "b9", StorageID: 9, StorageBlank: true}
-	m.addInbound(former, hello)
-	hello.WriteCount = 1
-	m.addInbound(latter, hello)
-	m.removeInbound(hello.Broker, former)
-	if remote := m.inbound["b9"]; remote == nil || remote.WriteCount != 1 {
-		t.Errorf("the broker is overlooked: %+v", remote)
-	}
-	m.removeInbound(hello.Broker, latter)
-	if m.inbound["b9"] != nil {
-		t.Error("a broker without a connection is kept")
+	for _, order := range [][]*wire.Conn{{former, latter}, {latter, former}} {
+		m := foundingMember(t)
+		for _, conn := range order {
+			hello := wire.Hello{Broker: "b9", StorageID: 9, StorageBlank: true}
+			if conn == latter {
+				hello.WriteCount = 1
+			}
+			m.addInbound(conn, hello)
+		}
+		if remote := m.inboundPeer("b9"); remote == nil || remote.WriteCount != 1 {
+			t.Errorf("the former connection's hello counts: %+v", remote)
+		}
+		m.removeInbound("b9", former)
+		if remote := m.inboundPeer("b9"); remote == nil || remote.WriteCount != 1 {
+			t.Errorf("the broker is overlooked: %+v", remote)
+		}
+		m.removeInbound("b9", latter)
+		if m.inboundPeer("b9") != nil || m.inbound["b9"] != nil {
+			t.Error("a broker without a connection is kept")
+		}
 	}
 }
--- a/internal/fleet/inbound.go
+++ b/internal/fleet/inbound.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -23,11 +24,11 @@
 	writeCount uint64
 }
 
-// inboundPeer is a broker of the council, or one that may join it, that has a connection to this member.
+// inboundPeer is a connection to this member from a broker of the council, or from one that may join it.
 type inboundPeer struct {
 	// Hello is what the broker said of itself in the connection's handshake; StorageBlank is kept up to date after that.
 	wire.Hello
-	// conn is the connection. A broker that connects again may do so before the end of its earlier connection is noticed.
+	// conn is the connection.
 	conn *wire.Conn
 	// foundingSentTick is the value of member.ticks when the founding snapshot was last sent to the broker; neverSentTick
 	// before.
@@ -73,8 +74,10 @@
 	if !m.checkDisk(conn, remoteHello, writeCount) {
 		return
 	}
-	if remote := m.inbound[remoteHello.Broker]; remote != nil && remote.StorageID == remoteHello.StorageID {
-		remote.StorageBlank = false
+	for _, remote := range m.inbound[remoteHello.Broker] {
+		if remote.StorageID == remoteHello.StorageID {
+			remote.StorageBlank = false
+		}
 	}
 	m.replica.Step(message)
 }
@@ -91,18 +94,42 @@
 	if !m.checkDisk(conn, remoteHello, remoteHello.WriteCount) || len(m.inbound) >= maxInboundPeers {
 		return
 	}
-	if previous := m.inbound[remoteHello.Broker]; previous != nil && previous.Process != remoteHello.Process && previous.StorageID != remoteHello.StorageID {
+	if previous := m.inboundPeer(remoteHello.Broker); previous != nil && previous.Process != remoteHello.Process && previous.StorageID != remoteHello.StorageID {
 		m.node.countEvent("two of one name")
 	}
-	m.inbound[remoteHello.Broker] = &inboundPeer{Hello: remoteHello, conn: conn, foundingSentTick: neverSentTick}
+	connections := m.inbound[remoteHello.Broker]
+	position := len(connections)
+	for position > 0 && connections[position-1].isNewerThan(remoteHello) {
+		position--
+	}
+	added := &inboundPeer{Hello: remoteHello, conn: conn, foundingSentTick: neverSentTick}
+	m.inbound[remoteHello.Broker] = slices.Insert(connections, position, added)
 	m.updatePeers()
 }
 
-// removeInbound removes a broker whose connection conn has ended, unless it has connected again.
+// isNewerThan reports whether the connection was made with a later state of the same process's disk than the one that the
+// hello other states. A broker that has written its disk connects again, and the two connections may be added in any order.
+func (p *inboundPeer) isNewerThan(other wire.Hello) bool {
+	return p.Process == other.Process && p.StorageID == other.StorageID && p.WriteCount > other.WriteCount
+}
+
+// inboundPeer returns the newest connection from the named broker; nil if it has none.
+func (m *member) inboundPeer(broker string) *inboundPeer {
+	connections := m.inbound[broker]
+	if len(connections) == 0 {
+		return nil
+	}
+	return connections[len(connections)-1]
+}
+
+// removeInbound removes a broker's connection conn, which has ended. The broker's other connections stay.
 func (m *member) removeInbound(broker string, conn *wire.Conn) {
-	if remote := m.inbound[broker]; remote != nil && remote.conn == conn {
+	connections := slices.DeleteFunc(m.inbound[broker], func(remote *inboundPeer) bool { return remote.conn == conn })
+	if len(connections) == 0 {
 		delete(m.inbound, broker)
+		return
 	}
+	m.inbound[broker] = connections
 }
 
 // checkDisk reports whether a peer's disk is as recent as its last known state, and records its state; writeCount is the number
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -37,8 +37,9 @@
 	replica *council.Replica
 	// peers are the sending sides of the connections to the other members, by broker name.
 	peers map[string]*peer
-	// inbound holds the brokers that have a connection to this member, by name; at most maxInboundPeers.
-	inbound map[string]*inboundPeer
+	// inbound holds the brokers that have a connection to this member, by name; at most maxInboundPeers. Each has its
+	// connections, the newest last: a broker may connect again before the end of its earlier connection is noticed.
+	inbound map[string][]*inboundPeer
 	// disks holds, by storage id, the last known state of the disk of each broker that has connected as a peer. It has at most
 	// maxKnownDisks entries.
 	disks map[uint64]diskRecord
@@ -86,7 +87,7 @@
 		calls:               make(chan func(), maxQueuedCalls),
 		done:                make(chan struct{}),
 		peers:               map[string]*peer{},
-		inbound:             map[string]*inboundPeer{},
+		inbound:             map[string][]*inboundPeer{},
 		disks:               map[uint64]diskRecord{},
 		pending:             map[uint64]pendingRequest{},
 		subscribers:         map[lease.ID]*clientConn{},
--- a/internal/fleet/membership.go
+++ b/internal/fleet/membership.go
@@ -39,7 +39,8 @@
 // sendFoundingSnapshot sends the encoded founding snapshot to each connected broker whose disk is blank and is one of
 // the snapshot's voters, at most once in an election timeout.
 func (m *member) sendFoundingSnapshot(founding []byte) {
-	for broker, remote := range m.inbound {
+	for broker := range m.inbound {
+		remote := m.inboundPeer(broker)
 		p := m.peers[broker]
 		due := m.ticks-remote.foundingSentTick > council.ElectionTicks
 		if p != nil && remote.StorageBlank && due && isFoundingVoter(founding, remote.StorageID) {
@@ -60,7 +61,7 @@
 		}
 	}
 	for _, entry := range members {
-		remote := m.inbound[entry.Broker]
+		remote := m.inboundPeer(entry.Broker)
 		if remote == nil || !remote.StorageBlank || hasDisk(members, remote.StorageID) {
 			continue
 		}
@@ -108,7 +109,7 @@
 	for _, configured := range config.Council {
 		disk := m.store.Disk()
 		if configured.Broker != config.Broker {
-			remote := m.inbound[configured.Broker]
+			remote := m.inboundPeer(configured.Broker)
 			if remote == nil || !remote.StorageBlank {
 				return nil
 			}
@@ -215,7 +216,7 @@
 		m.replica.TransferLeadership()
 		return council.ErrNotLeader
 	}
-	remote := m.inbound[replacement.NewBroker]
+	remote := m.inboundPeer(replacement.NewBroker)
 	if remote == nil || !remote.StorageBlank || remote.ListenAddr == "" {
 		return fmt.Errorf("%s is not there with a blank disk: start it with this council stated, fleet.listen and fleet.dir", replacement.NewBroker)
 	}
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -199,9 +199,9 @@
 			return m.peers[entry.Broker]
 		}
 	}
-	for _, remote := range m.inbound {
-		if remote.StorageID == disk {
-			return m.peers[remote.Broker]
+	for broker := range m.inbound {
+		if m.inboundPeer(broker).StorageID == disk {
+			return m.peers[broker]
 		}
 	}
 	return nil
@@ -216,9 +216,10 @@
 	for _, entry := range m.replica.Members() {
 		wanted[entry.Broker] = entry.Addr
 	}
-	for _, remote := range m.inbound {
-		if _, ok := wanted[remote.Broker]; !ok && remote.ListenAddr != "" {
-			wanted[remote.Broker] = remote.ListenAddr
+	for broker := range m.inbound {
+		listenAddr := m.inboundPeer(broker).ListenAddr
+		if _, ok := wanted[broker]; !ok && listenAddr != "" {
+			wanted[broker] = listenAddr
 		}
 	}
 	for _, configured := range m.node.config.Council {
