Fleet: status shows while a voter is being replaced; the founding test waits for it

The rest of the failures of TestNoSecondCouncilWithReplacedBrokers: b3 and b4 never elected a leader. Traced: both had the joint configuration (voters_outgoing with the replaced broker and b0), and the test had removed the disks of these two. Raft allows that it stands still then.

The test took the newcomer's vote at the leader for the end of the change. An operator had no way to see that end either.

--- a/internal/fleet/council/membership.go
+++ b/internal/fleet/council/membership.go
@@ -122,12 +122,16 @@
 	if !r.leading {
 		return ErrNotLeader
 	}
-	if len(r.conf.GetVotersOutgoing()) > 0 {
+	if r.ChangeInProgress() {
 		return errors.New("council: a change is under way")
 	}
 	return nil
 }
 
+// ChangeInProgress reports whether, as far as this member has applied the log, a replaced voter is still needed beside its
+// replacement: elections and commits need a majority of the voters before the change and one of those after it.
+func (r *Replica) ChangeInProgress() bool { return len(r.conf.GetVotersOutgoing()) > 0 }
+
 // active reports whether the member with this Raft ID (disk) is this member itself, or has sent it a message in the last
 // silentTicks calls of Tick.
 func (r *Replica) active(disk uint64) bool {
--- a/internal/fleet/founding_test.go
+++ b/internal/fleet/founding_test.go
@@ -25,13 +25,16 @@
 	waitUntil(f.t, "the replacement is accepted", func() bool {
 		return admin.ReplaceMember(f.t.Context(), Replacement{former, newcomer}) == nil
 	})
-	waitUntil(f.t, newcomer+" has its vote", func() bool {
-		for _, entry := range f.membersAt(f.leader()) {
-			if entry.Broker == newcomer && !entry.Learner {
-				return true
+	waitUntil(f.t, newcomer+" has its vote at all members, and no member needs "+former, func() bool {
+		for _, configured := range councilAfter {
+			isVoter := func(entry council.Member) bool { return entry.Broker == newcomer && !entry.Learner }
+			// In this order: a member has published that a change is in progress before it shows the newcomer's vote.
+			hasVote := slices.ContainsFunc(f.membersAt(configured.Broker), isVoter)
+			if !hasVote || f.nodes[configured.Broker].Status().Member.ChangeInProgress {
+				return false
 			}
 		}
-		return false
+		return true
 	})
 }
 
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -47,6 +47,8 @@
 	CouncilTime float64 `cbor:"13,keyasint" json:"now"`
 	// Members has an entry for each of the council's members; it is set only in replies to a request for the status.
 	Members []MemberView `cbor:"14,keyasint,omitempty" json:"seats,omitempty"`
+	// ChangeInProgress says that a voter is being replaced, and that this member still needs the replaced one for elections.
+	ChangeInProgress bool `cbor:"15,keyasint,omitempty" json:"change_in_progress,omitempty"`
 }
 
 // MemberView is one member of the council as this broker sees it. Only on the leader are Active and MatchIndex known.
@@ -67,6 +69,7 @@
 	status.Term, status.Commit, status.Applied = replica.Progress()
 	status.Leader, _ = m.leader()
 	_, status.IsLeader = replica.Leader()
+	status.ChangeInProgress = replica.ChangeInProgress()
 	if replica.State() != nil {
 		status.Sessions, status.HeldLeases, status.LastToken = replica.State().Counts()
 		status.CouncilTime = replica.State().Now()
--- a/internal/program/withfleet/commands.go
+++ b/internal/program/withfleet/commands.go
@@ -103,6 +103,9 @@
 			default:
 				state = "follows"
 			}
+			if status.Member.ChangeInProgress {
+				state += ", a voter is being replaced"
+			}
 			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\n", status.Broker, state, status.Member.Leader, status.Member.Term, status.Member.Commit, status.Member.Sessions, status.Member.HeldLeases, status.Member.LastToken)
 		} else {
 			fmt.Fprintf(table, "%s\t%s\n", status.Broker, state)
